--- /dev/null
+++ b/daemon/app.c
@@ -0,0 +1,185 @@
+#include "app.h"
+
+#include "config_task.h"
+#include "domain_task.h"
+#include "event.h"
+#include "hosts_task.h"
+#include "key_task.h"
+#include "operator_task.h"
+#include "peer_task.h"
+#include "route_task.h"
+
+#include <string.h>
+#include <time.h>
+
+#define MIB (1024 * 1024)
+#define CALL_SILENCE_MS 3600000 /* calls end by their own deadlines */
+#define LEAVE_NOTICE_MS 1000    /* for the balancer and peers to see that the host is leaving */
+#define LEAVE_TICK_MS 20
+
+struct leaving
+{
+  struct iv_app *app;
+  struct iv_deadline tick;
+  gint64 stop_listening_ms;
+  gint64 give_up_ms;
+  gboolean stopped;
+};
+
+gint64
+iv_app_now (const struct iv_app *app)
+{
+  return (gint64)uv_now (app->loop);
+}
+
+guint64
+iv_app_wall_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (guint64)now.tv_sec * 1000 + (guint64)now.tv_nsec / 1000000;
+}
+
+static const struct iv_member *
+member_at (const struct iv_app *app, guint i)
+{
+  return &g_array_index (app->settings->members, struct iv_member, i);
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+static gboolean
+contains (const GPtrArray *names, const char *name)
+{
+  for (guint i = 0; i < names->len; i++)
+    if (strcmp (g_ptr_array_index (names, i), name) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+collect_domains (struct iv_app *app)
+{
+  app->domains = g_ptr_array_new ();
+  for (guint i = 0; i < app->settings->members->len; i++)
+    if (!contains (app->domains, member_at (app, i)->domain))
+      g_ptr_array_add (app->domains, member_at (app, i)->domain);
+  g_ptr_array_sort (app->domains, compare_names);
+}
+
+/* Number of members, of @a domain or of all when it is NULL, that come before this host by name. */
+static guint
+rank_in (const struct iv_app *app, const char *domain)
+{
+  guint rank = 0;
+  for (guint i = 0; i < app->settings->members->len; i++)
+    if ((domain == NULL || strcmp (member_at (app, i)->domain, domain) == 0)
+        && strcmp (member_at (app, i)->host, app->settings->host) < 0)
+      rank++;
+  return rank;
+}
+
+static guint
+members_of (const struct iv_app *app, const char *domain)
+{
+  guint count = 0;
+  for (guint i = 0; i < app->settings->members->len; i++)
+    count += strcmp (member_at (app, i)->domain, domain) == 0;
+  return count;
+}
+
+/* Hosts of the domain come first, in the order of their names; backups wait for all of them. */
+static void
+start_domains (struct iv_app *app)
+{
+  const char *own = app->settings->domain;
+  const GArray *backups = app->settings->scheduling.backup_for;
+  app->domain_tasks = g_ptr_array_new ();
+  g_ptr_array_add (app->domain_tasks, iv_domain_task_new (app, own, rank_in (app, own)));
+  for (guint i = 0; i < backups->len; i++)
+    {
+      const char *domain = g_array_index (backups, char *, i);
+      guint rank = members_of (app, domain) + rank_in (app, NULL);
+      if (iv_domain_task_find (app, domain) == NULL)
+        g_ptr_array_add (app->domain_tasks, iv_domain_task_new (app, domain, rank));
+    }
+}
+
+static void
+make_edges (struct iv_app *app)
+{
+  gsize answer_max = (gsize)app->settings->limits.answer_mib * MIB;
+  struct iv_http_client *platform
+      = iv_http_client_new (app->loop, app->deadlines, CALL_SILENCE_MS, 64 * MIB);
+  struct iv_http_client *workers
+      = iv_http_client_new (app->loop, app->deadlines, CALL_SILENCE_MS, 16 * MIB);
+  struct iv_http_client *upstreams
+      = iv_http_client_new (app->loop, app->deadlines, CALL_SILENCE_MS, answer_max);
+  iv_platform_http (platform, app->settings->platform.address, &app->log, &app->hosts_edge);
+  iv_worker_http (workers, &app->workers);
+  iv_upstream_http (upstreams, &app->upstreams);
+}
+
+gboolean
+iv_app_start (struct iv_app *app, uv_loop_t *loop, struct iv_settings *settings)
+{
+  app->loop = loop;
+  app->settings = settings;
+  app->incarnation = iv_app_wall_ms ();
+  app->deadlines = iv_deadlines_new (loop);
+  app->mailbox = iv_mailbox_new (loop);
+  collect_domains (app);
+  app->rank = rank_in (app, NULL);
+  make_edges (app);
+  app->hosts = iv_hosts_task_new (app);
+  app->config = iv_config_task_new (app);
+  app->keys = iv_key_task_new (app);
+  start_domains (app);
+  app->peers = iv_peer_task_new (app);
+  app->route = app->peers ? iv_route_task_new (app) : NULL;
+  app->operators = app->route ? iv_operator_task_new (app) : NULL;
+  return app->operators != NULL;
+}
+
+static void
+on_leaving (void *context)
+{
+  struct leaving *leaving = context;
+  struct iv_app *app = leaving->app;
+  gint64 now = iv_app_now (app);
+  if (!leaving->stopped && now >= leaving->stop_listening_ms)
+    {
+      leaving->stopped = TRUE;
+      iv_route_task_stop (app->route);
+    }
+  if (leaving->stopped && (iv_route_task_pending (app->route) == 0 || now >= leaving->give_up_ms))
+    {
+      iv_event (IV_LEVEL_INFO, "host.stopped", "unanswered=%u", iv_route_task_pending (app->route));
+      uv_stop (app->loop);
+      return;
+    }
+  iv_deadline_set (app->deadlines, &leaving->tick, now + LEAVE_TICK_MS);
+}
+
+void
+iv_app_leave (struct iv_app *app)
+{
+  struct leaving *leaving;
+  if (app->leaving)
+    return;
+  app->leaving = TRUE;
+  iv_event (IV_LEVEL_INFO, "host.leaving", "pending=%u", iv_route_task_pending (app->route));
+  for (guint i = 0; i < app->domain_tasks->len; i++)
+    iv_domain_task_resign (g_ptr_array_index (app->domain_tasks, i));
+  leaving = g_new0 (struct leaving, 1);
+  leaving->app = app;
+  leaving->stop_listening_ms = iv_app_now (app) + LEAVE_NOTICE_MS;
+  leaving->give_up_ms = iv_app_now (app) + app->settings->routing.drain_ms;
+  leaving->tick.fire = on_leaving;
+  leaving->tick.context = leaving;
+  iv_deadline_set (app->deadlines, &leaving->tick, iv_app_now (app));
+}
--- /dev/null
+++ b/daemon/config_task.c
@@ -0,0 +1,276 @@
+#include "config_task.h"
+
+#include "chunks.h"
+#include "domain_task.h"
+#include "event.h"
+#include "follower.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STREAM "config"
+#define POLL_MS 1000
+#define RECENT_MAX 1024
+#define RELAY_BYTES_MAX (1024 * 1024)
+#define LOG_DOWN_MS 3000
+#define SNAPSHOT_TIMEOUT_MS 30000
+
+struct recent
+{
+  guint64 offset;
+  GBytes *bytes;
+};
+
+struct iv_config_task
+{
+  struct iv_app *app;
+  struct iv_config *config;
+  struct iv_follower *follower;
+  struct iv_appender *appender;
+  gint64 evidence_ms;
+  GQueue *recent; /* of struct recent, oldest first: for peers */
+  guint64 snapshot_at;
+  gboolean snapshot_pending;
+};
+
+static void
+free_recent (gpointer data)
+{
+  struct recent *recent = data;
+  g_bytes_unref (recent->bytes);
+  g_free (recent);
+}
+
+static void
+remember (struct iv_config_task *task, guint64 offset, const guint8 *bytes, gsize len)
+{
+  struct recent *recent = g_new (struct recent, 1);
+  recent->offset = offset;
+  recent->bytes = g_bytes_new (bytes, len);
+  g_queue_push_tail (task->recent, recent);
+  if (task->recent->length > RECENT_MAX)
+    free_recent (g_queue_pop_head (task->recent));
+}
+
+static void
+log_changes (const struct iv_config_task *task, const ivx_batch *batch, guint64 offset,
+             guint32 release_before)
+{
+  for (u_int i = 0; i < batch->records.records_len; i++)
+    {
+      const ivx_record *record = &batch->records.records_val[i];
+      if (record->kind == IVX_DOMAIN)
+        iv_event (IV_LEVEL_INFO, "domain.set", "domain=%s out=%d offset=%" G_GUINT64_FORMAT,
+                  record->ivx_record_u.domain.name, record->ivx_record_u.domain.out, offset);
+    }
+  if (task->config->release != release_before)
+    iv_event (IV_LEVEL_INFO, "release.in_force", "release=%u offset=%" G_GUINT64_FORMAT,
+              task->config->release, offset);
+}
+
+static void
+on_batch (void *context, guint64 offset, const ivx_batch *batch, const guint8 *bytes, gsize len)
+{
+  struct iv_config_task *task = context;
+  guint32 release = task->config->release;
+  iv_config_apply (task->config, offset, batch);
+  remember (task, offset, bytes, len);
+  log_changes (task, batch, offset, release);
+  if (batch->records.records_len > 0 && batch->records.records_val[0].kind == IVX_CHUNK_REC)
+    task->snapshot_at = offset;
+  iv_appender_read_back (task->appender, offset, batch);
+}
+
+static gboolean
+on_restore (void *context, const guint8 *bytes, gsize len, guint64 covers)
+{
+  struct iv_config_task *task = context;
+  struct iv_config *config = iv_config_load (bytes, len);
+  if (config == NULL || config->next > covers)
+    {
+      iv_config_free (config);
+      return FALSE;
+    }
+  iv_config_free (task->config);
+  task->config = config;
+  task->snapshot_at = covers;
+  g_queue_clear_full (task->recent, free_recent);
+  return TRUE;
+}
+
+static void
+note_evidence (struct iv_config_task *task, gint64 asked_ms)
+{
+  struct iv_message message = { .kind = IV_MSG_CONFIG, .asked_ms = asked_ms };
+  if (asked_ms <= task->evidence_ms)
+    return;
+  task->evidence_ms = asked_ms;
+  iv_mailbox_post (task->app->mailbox, &message);
+}
+
+static void
+on_snapshot_appended (void *context, enum iv_status status, guint64 offset)
+{
+  struct iv_config_task *task = context;
+  task->snapshot_pending = FALSE;
+}
+
+/* One host is enough to write snapshots: the owner of the first failure domain. */
+static void
+write_snapshot (struct iv_config_task *task)
+{
+  GArray *chunks;
+  GByteArray *bytes;
+  gint64 deadline_ms = iv_app_now (task->app) + SNAPSHOT_TIMEOUT_MS;
+  if (task->snapshot_pending
+      || task->config->next
+             < task->snapshot_at + (guint64)task->app->settings->scheduling.snapshot_every
+      || !iv_domain_task_owns (task->app, g_ptr_array_index (task->app->domains, 0)))
+    return;
+  bytes = iv_config_save (task->config);
+  chunks = iv_records_new ();
+  iv_chunks_cut (chunks, bytes, task->config->next);
+  task->snapshot_at = task->config->next;
+  task->snapshot_pending = TRUE;
+  for (guint i = 0; i < chunks->len; i++)
+    iv_appender_add (task->appender, &g_array_index (chunks, ivx_record, i), FALSE, deadline_ms,
+                     i + 1 == chunks->len ? on_snapshot_appended : NULL, task);
+  g_array_set_clear_func (chunks, NULL);
+  g_array_free (chunks, TRUE);
+  g_byte_array_free (bytes, TRUE);
+}
+
+static void
+on_end (void *context, gint64 asked_ms)
+{
+  struct iv_config_task *task = context;
+  note_evidence (task, asked_ms);
+  write_snapshot (task);
+}
+
+struct iv_config_task *
+iv_config_task_new (struct iv_app *app)
+{
+  struct iv_config_task *task = g_new0 (struct iv_config_task, 1);
+  const struct iv_platform_settings *platform = &app->settings->platform;
+  struct iv_follower_events events
+      = { .context = task, .batch = on_batch, .restore = on_restore, .end = on_end };
+  char *identity = g_strdup_printf ("%s/config", app->settings->host);
+  task->app = app;
+  task->config = iv_config_new ();
+  task->evidence_ms = G_MININT64 / 2;
+  task->recent = g_queue_new ();
+  task->appender
+      = iv_appender_new (app->loop, app->deadlines, &app->log, STREAM, identity, app->incarnation,
+                         platform->append_every_ms, platform->timeout_ms, FALSE);
+  task->follower = iv_follower_new (app->loop, app->deadlines, &app->log, STREAM, POLL_MS,
+                                    platform->timeout_ms, FALSE, &events);
+  g_free (identity);
+  return task;
+}
+
+const struct iv_config *
+iv_config_task_state (const struct iv_config_task *task)
+{
+  return task->config;
+}
+
+gboolean
+iv_config_task_whole (const struct iv_config_task *task)
+{
+  return iv_follower_whole (task->follower);
+}
+
+gint64
+iv_config_task_evidence_ms (const struct iv_config_task *task)
+{
+  return task->evidence_ms;
+}
+
+gboolean
+iv_config_task_log_up (const struct iv_config_task *task)
+{
+  gint64 heard = iv_follower_heard_ms (task->follower);
+  return heard > 0 && iv_app_now (task->app) - heard <= LOG_DOWN_MS;
+}
+
+void
+iv_config_task_append (struct iv_config_task *task, const ivx_record *record, gboolean alone,
+                       gint64 deadline_ms, iv_appended_fn done, void *context)
+{
+  iv_appender_add (task->appender, record, alone, deadline_ms, done, context);
+}
+
+static void
+relay_snapshot (const struct iv_config_task *task, ivp_read_reply *reply)
+{
+  GByteArray *bytes = iv_config_save (task->config);
+  reply->gap = TRUE;
+  if (bytes->len <= IVP_BODY)
+    {
+      reply->snapshot.snapshot_len = bytes->len;
+      reply->snapshot.snapshot_val = malloc (bytes->len + 1);
+      memcpy (reply->snapshot.snapshot_val, bytes->data, bytes->len);
+    }
+  g_byte_array_free (bytes, TRUE);
+}
+
+static void
+relay_entries (const struct iv_config_task *task, guint64 from, ivp_read_reply *reply)
+{
+  gsize bytes = 0;
+  reply->entries.entries_val = calloc (IVP_BATCHES, sizeof (ivp_entry));
+  for (GList *l = task->recent->head; l && reply->entries.entries_len < IVP_BATCHES; l = l->next)
+    {
+      const struct recent *recent = l->data;
+      ivp_entry *entry = &reply->entries.entries_val[reply->entries.entries_len];
+      gsize len;
+      const guint8 *data = g_bytes_get_data (recent->bytes, &len);
+      if (recent->offset < from)
+        continue;
+      if (bytes + len > RELAY_BYTES_MAX)
+        break;
+      entry->offset = recent->offset;
+      entry->bytes.bytes_len = (u_int)len;
+      entry->bytes.bytes_val = malloc (len + 1);
+      memcpy (entry->bytes.bytes_val, data, len);
+      bytes += len;
+      reply->entries.entries_len++;
+    }
+}
+
+void
+iv_config_task_relay (const struct iv_config_task *task, guint64 from, ivp_read_reply *reply)
+{
+  const struct recent *oldest = g_queue_peek_head (task->recent);
+  gint64 age = iv_app_now (task->app) - task->evidence_ms;
+  reply->next = task->config->next;
+  reply->age_ms = (guint32)CLAMP (age, 0, G_MAXUINT32);
+  if (!iv_config_task_whole (task))
+    {
+      reply->next = 0;
+      reply->age_ms = G_MAXUINT32;
+      return;
+    }
+  if (from < task->config->next && (oldest == NULL || oldest->offset > from))
+    relay_snapshot (task, reply);
+  else
+    relay_entries (task, from, reply);
+}
+
+void
+iv_config_task_take (struct iv_config_task *task, const ivp_read_reply *reply, gint64 asked_ms)
+{
+  if (reply->gap && reply->snapshot.snapshot_len > 0)
+    iv_follower_relayed_snapshot (task->follower, (const guint8 *)reply->snapshot.snapshot_val,
+                                  reply->snapshot.snapshot_len, reply->next);
+  for (u_int i = 0; i < reply->entries.entries_len; i++)
+    {
+      const ivp_entry *entry = &reply->entries.entries_val[i];
+      iv_follower_relayed (task->follower, entry->offset, (const guint8 *)entry->bytes.bytes_val,
+                           entry->bytes.bytes_len);
+    }
+  if (iv_config_task_whole (task) && task->config->next >= reply->next
+      && reply->age_ms < G_MAXUINT32)
+    note_evidence (task, asked_ms - (gint64)reply->age_ms);
+}
--- /dev/null
+++ b/daemon/hosts_task.c
@@ -0,0 +1,78 @@
+#include "hosts_task.h"
+
+struct iv_hosts_task
+{
+  struct iv_app *app;
+  GHashTable *workers;
+  GArray *instances;
+  struct iv_deadline again;
+};
+
+static void
+on_listed (void *context, const struct iv_host_list *hosts)
+{
+  struct iv_hosts_task *task = context;
+  struct iv_message message = { .kind = IV_MSG_HOSTS };
+  iv_deadline_set (task->app->deadlines, &task->again,
+                   iv_app_now (task->app) + task->app->settings->platform.hosts_ms);
+  if (hosts == NULL)
+    return;
+  /* The old list stays in use until a new one was read whole. */
+  if (task->workers)
+    g_hash_table_unref (task->workers);
+  if (task->instances)
+    g_array_unref (task->instances);
+  task->workers = g_hash_table_ref (hosts->workers);
+  task->instances = g_array_ref (hosts->instances);
+  iv_mailbox_post (task->app->mailbox, &message);
+}
+
+static void
+read_list (void *context)
+{
+  struct iv_hosts_task *task = context;
+  const struct iv_platform_settings *platform = &task->app->settings->platform;
+  task->app->hosts_edge.list (task->app->hosts_edge.context,
+                              iv_app_now (task->app) + platform->timeout_ms, on_listed, task);
+}
+
+struct iv_hosts_task *
+iv_hosts_task_new (struct iv_app *app)
+{
+  struct iv_hosts_task *task = g_new0 (struct iv_hosts_task, 1);
+  task->app = app;
+  task->again.fire = read_list;
+  task->again.context = task;
+  iv_deadline_set (app->deadlines, &task->again, iv_app_now (app));
+  return task;
+}
+
+const GArray *
+iv_hosts_task_workers (const struct iv_hosts_task *task, const char *domain)
+{
+  return task->workers ? g_hash_table_lookup (task->workers, domain) : NULL;
+}
+
+const GArray *
+iv_hosts_task_instances (const struct iv_hosts_task *task)
+{
+  return task->instances;
+}
+
+GArray *
+iv_hosts_task_sizes (const struct iv_hosts_task *task)
+{
+  GArray *sizes = g_array_new (FALSE, FALSE, sizeof (ivx_size));
+  GHashTableIter iter;
+  gpointer value;
+  if (task->workers == NULL)
+    return sizes;
+  g_hash_table_iter_init (&iter, task->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const GArray *list = value;
+      for (guint i = 0; i < list->len; i++)
+        g_array_append_val (sizes, g_array_index (list, struct iv_host_entry, i).info.size);
+    }
+  return sizes;
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,116 @@
+#include "app.h"
+#include "event.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define EXIT_OK 0
+#define EXIT_FINDINGS 1
+#define EXIT_USAGE 64
+#define EXIT_UNAVAILABLE 69
+
+const char *argp_program_version = "ibisvaned 0.1.0";
+
+struct arguments
+{
+  const char *config;
+};
+
+static const struct argp_option options[] = {
+  { "config", 'c', "FILE", 0, "Read the settings from FILE", 0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *value, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+  switch (key)
+    {
+    case 'c':
+      arguments->config = value;
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_error (state, "unexpected argument \"%s\"", value);
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->config == NULL)
+        argp_error (state, "--config FILE is required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp parser
+    = { options,
+        parse_option,
+        "",
+        "The ibisvane daemon of an entry host.\v"
+        "Exit status: 0 after a planned stop, 1 for findings in the settings, "
+        "64 for wrong usage, 69 when a socket cannot be opened.",
+        NULL,
+        NULL,
+        NULL };
+
+static void
+on_signal (uv_signal_t *signal, int number)
+{
+  iv_app_leave (signal->data);
+}
+
+static void
+watch_signal (struct iv_app *app, uv_signal_t *handle, int number)
+{
+  uv_signal_init (app->loop, handle);
+  handle->data = app;
+  uv_signal_start (handle, on_signal, number);
+}
+
+static int
+run (struct iv_settings *settings)
+{
+  struct iv_app app = { 0 };
+  uv_signal_t on_term, on_int;
+  iv_event_init (settings->host, (enum iv_level)settings->log_level);
+  signal (SIGPIPE, SIG_IGN);
+  if (!iv_app_start (&app, uv_default_loop (), settings))
+    {
+      iv_event (IV_LEVEL_ERROR, "host.failed", "reason=%s", iv_quote (iv_last_message ()));
+      return EXIT_UNAVAILABLE;
+    }
+  watch_signal (&app, &on_term, SIGTERM);
+  watch_signal (&app, &on_int, SIGINT);
+  iv_event (IV_LEVEL_INFO, "host.started", "user=%s domain=%s callers=%s operators=%s peers=%s",
+            settings->user, settings->domain, settings->listen.callers, settings->listen.operators,
+            settings->listen.peers);
+  uv_run (app.loop, UV_RUN_DEFAULT);
+  return EXIT_OK;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arguments arguments = { 0 };
+  struct iv_settings settings;
+  struct iv_findings *findings;
+  char *text;
+  gsize len;
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  if (iv_read_file (arguments.config, IV_FILE_BYTES_MAX, &text, &len) != IV_OK)
+    {
+      fprintf (stderr, "ibisvaned: %s\n", iv_last_message ());
+      return EXIT_FINDINGS;
+    }
+  findings = iv_findings_new (arguments.config);
+  iv_settings_read (text, len, &settings, findings);
+  if (iv_findings_count (findings) > 0)
+    {
+      char *report = iv_findings_text (findings);
+      fputs (report, stderr);
+      return EXIT_FINDINGS;
+    }
+  return run (&settings);
+}
--- /dev/null
+++ b/route/router.c
@@ -0,0 +1,634 @@
+#include "router.h"
+
+#include "share.h"
+
+#include <gsl/gsl_rng.h>
+#include <string.h>
+
+#define CALLS_MAX 3 /* of one request, hedges and retries together */
+#define BACKOFF_FIRST_MS 10
+#define BACKOFF_LIMIT_MS 500
+#define SERVICE_TIME_START_MS 10.0
+#define SERVICE_TIME_WEIGHT 0.05
+#define SHED_MARGIN 1.0
+
+struct request
+{
+  struct iv_request_info info;
+  char *service;
+  gint64 not_before_ms; /* backoff of a retry */
+  gint64 hedge_at_ms;   /* 0: no hedge */
+  guint calls;          /* made so far */
+  guint active;         /* under way */
+  gboolean queued;
+  GList *link;
+  char *tried[CALLS_MAX]; /* instance names, not to be asked again */
+};
+
+struct iv_router
+{
+  struct iv_router_options options;
+  GPtrArray *instances; /* of struct iv_instance */
+  GHashTable *by_name;
+  GHashTable *requests;   /* id to struct request */
+  GQueue *queue;          /* waiting requests, by priority, then age */
+  GQueue *refused;        /* ids to refuse, with the reason */
+  GHashTable *per_caller; /* caller to number of queued requests */
+  struct iv_budget budget;
+  gsl_rng *rng;
+  double service_time_ms;
+  gboolean hedges_due; /* some request was marked by iv_router_hedge_now() */
+  guint next_instance; /* round robin */
+  guint64 retries;
+};
+
+struct refused
+{
+  guint64 id;
+  enum iv_refusal refusal;
+};
+
+const char *
+iv_refusal_name (enum iv_refusal refusal)
+{
+  static const char *const names[] = { "none", "no_instance", "expired", "overload" };
+  return names[refusal];
+}
+
+static void
+free_request (gpointer data)
+{
+  struct request *request = data;
+  for (guint i = 0; i < CALLS_MAX; i++)
+    g_free (request->tried[i]);
+  g_free (request->service);
+  g_free (request);
+}
+
+static void
+free_instance (gpointer data)
+{
+  iv_instance_free (data);
+}
+
+struct iv_router *
+iv_router_new (const struct iv_router_options *options)
+{
+  struct iv_router *router = g_new0 (struct iv_router, 1);
+  router->options = *options;
+  router->instances = g_ptr_array_new_with_free_func (free_instance);
+  router->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  router->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_request);
+  router->queue = g_queue_new ();
+  router->refused = g_queue_new ();
+  router->per_caller = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  router->rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (router->rng, options->seed);
+  router->service_time_ms = SERVICE_TIME_START_MS;
+  iv_budget_init (&router->budget, options->retry_percent);
+  return router;
+}
+
+void
+iv_router_free (struct iv_router *router)
+{
+  g_ptr_array_free (router->instances, TRUE);
+  g_hash_table_destroy (router->by_name);
+  g_queue_free (router->queue);
+  g_queue_free_full (router->refused, g_free);
+  g_hash_table_destroy (router->requests);
+  g_hash_table_destroy (router->per_caller);
+  gsl_rng_free (router->rng);
+  g_free (router);
+}
+
+static struct iv_instance *
+instance_at (const struct iv_router *router, guint i)
+{
+  return g_ptr_array_index (router->instances, i);
+}
+
+static struct iv_instance *
+find_or_add (struct iv_router *router, const struct iv_instance_info *info)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, info->name);
+  if (instance && strcmp (instance->address, info->address) == 0)
+    return instance;
+  /* Another address under the same name is another instance; the old one's calls still end by name.
+   */
+  if (instance)
+    {
+      g_free (instance->address);
+      instance->address = g_strdup (info->address);
+      instance->state = IV_INSTANCE_RETURNING;
+      instance->returning_limit = 1;
+      return instance;
+    }
+  instance = iv_instance_new (info->name, info->service, info->domain, info->address);
+  g_ptr_array_add (router->instances, instance);
+  g_hash_table_insert (router->by_name, instance->name, instance);
+  return instance;
+}
+
+static void
+remove_unlisted (struct iv_router *router)
+{
+  for (guint i = 0; i < router->instances->len;)
+    {
+      struct iv_instance *instance = instance_at (router, i);
+      if (instance->listed || instance->in_flight > 0 || instance->probing)
+        {
+          i++;
+          continue;
+        }
+      g_hash_table_remove (router->by_name, instance->name);
+      g_ptr_array_remove_index (router->instances, i);
+    }
+}
+
+void
+iv_router_set_instances (struct iv_router *router, const struct iv_instance_info *list, guint count)
+{
+  for (guint i = 0; i < router->instances->len; i++)
+    instance_at (router, i)->listed = FALSE;
+  for (guint i = 0; i < count; i++)
+    {
+      struct iv_instance *instance = find_or_add (router, &list[i]);
+      guint slots
+          = iv_share (list[i].slots, list[i].name, router->options.rank, router->options.hosts);
+      guint connections = iv_share (list[i].connections, list[i].name, router->options.rank,
+                                    router->options.hosts);
+      instance->listed = TRUE;
+      instance->local = list[i].local;
+      instance->leaving = list[i].leaving;
+      instance->share = MIN (slots, connections);
+    }
+  remove_unlisted (router);
+}
+
+static guint
+queued_of (const struct iv_router *router, guint64 caller)
+{
+  gint64 key = (gint64)caller;
+  return GPOINTER_TO_UINT (g_hash_table_lookup (router->per_caller, &key));
+}
+
+static void
+count_queued (struct iv_router *router, guint64 caller, gint change)
+{
+  gint64 key = (gint64)caller;
+  guint count = (guint)((gint)queued_of (router, caller) + change);
+  if (count == 0)
+    g_hash_table_remove (router->per_caller, &key);
+  else
+    g_hash_table_replace (router->per_caller, g_memdup2 (&key, sizeof key),
+                          GUINT_TO_POINTER (count));
+}
+
+static void
+enqueue (struct iv_router *router, struct request *request)
+{
+  GList *after = router->queue->tail;
+  while (after && ((struct request *)after->data)->info.priority < request->info.priority)
+    after = after->prev;
+  g_queue_insert_after (router->queue, after, request);
+  request->link = after ? after->next : router->queue->head;
+  request->queued = TRUE;
+  count_queued (router, request->info.caller, 1);
+}
+
+static void
+dequeue (struct iv_router *router, struct request *request)
+{
+  g_queue_delete_link (router->queue, request->link);
+  request->link = NULL;
+  request->queued = FALSE;
+  count_queued (router, request->info.caller, -1);
+}
+
+static void
+remove_request (struct iv_router *router, struct request *request)
+{
+  if (request->queued)
+    dequeue (router, request);
+  g_hash_table_remove (router->requests, &request->info.id);
+}
+
+static void
+refuse (struct iv_router *router, guint64 id, enum iv_refusal refusal)
+{
+  struct refused *row = g_new (struct refused, 1);
+  row->id = id;
+  row->refusal = refusal;
+  g_queue_push_tail (router->refused, row);
+}
+
+static guint
+usable_share (const struct iv_router *router, const char *service, guint *up)
+{
+  guint share = 0;
+  *up = 0;
+  for (guint i = 0; i < router->instances->len; i++)
+    {
+      const struct iv_instance *instance = instance_at (router, i);
+      if (!instance->listed || instance->leaving || strcmp (instance->service, service) != 0)
+        continue;
+      if (instance->state == IV_INSTANCE_EJECTED)
+        continue;
+      *up += 1;
+      share += instance->share;
+    }
+  return share;
+}
+
+/* Whether a request that is queued now could still be answered in time. */
+static gboolean
+in_time (const struct iv_router *router, const struct iv_request_info *info, gint64 now_ms,
+         guint share)
+{
+  double wait_ms = router->service_time_ms * router->queue->length / MAX (1, share);
+  return now_ms + (wait_ms + router->service_time_ms) * SHED_MARGIN <= info->deadline_ms;
+}
+
+/* A full queue makes room for a caller with less than its share by dropping the youngest request
+   of the caller with the most, unless that one is more important. */
+static gboolean
+make_room (struct iv_router *router, const struct iv_request_info *info)
+{
+  struct request *victim = NULL;
+  guint most = queued_of (router, info->caller) + 1;
+  for (GList *l = router->queue->tail; l; l = l->prev)
+    {
+      struct request *request = l->data;
+      guint count = queued_of (router, request->info.caller);
+      gboolean less_important = request->info.priority < info->priority;
+      if (request->calls > 0 || request->info.priority > info->priority)
+        continue;
+      if (less_important || count > most)
+        {
+          victim = request;
+          most = count;
+          if (less_important)
+            break;
+        }
+    }
+  if (victim == NULL)
+    return FALSE;
+  refuse (router, victim->info.id, IV_REFUSAL_OVERLOAD);
+  remove_request (router, victim);
+  return TRUE;
+}
+
+static struct request *
+new_request (const struct iv_router *router, gint64 now_ms, const struct iv_request_info *info)
+{
+  struct request *request = g_new0 (struct request, 1);
+  request->info = *info;
+  request->service = g_strdup (info->service);
+  request->info.service = request->service;
+  if (info->idempotent && router->options.hedge_after_ms > 0)
+    request->hedge_at_ms = now_ms + router->options.hedge_after_ms;
+  return request;
+}
+
+void
+iv_router_add (struct iv_router *router, gint64 now_ms, const struct iv_request_info *info)
+{
+  struct request *request;
+  guint up, share = usable_share (router, info->service, &up);
+  iv_budget_request (&router->budget);
+  if (up == 0)
+    refuse (router, info->id, IV_REFUSAL_NO_INSTANCE);
+  else if (!in_time (router, info, now_ms, share))
+    refuse (router, info->id, IV_REFUSAL_OVERLOAD);
+  else if (router->queue->length >= router->options.queue_max && !make_room (router, info))
+    refuse (router, info->id, IV_REFUSAL_OVERLOAD);
+  else
+    {
+      request = new_request (router, now_ms, info);
+      g_hash_table_insert (router->requests, &request->info.id, request);
+      enqueue (router, request);
+    }
+}
+
+static gboolean
+was_tried (const struct request *request, const char *instance)
+{
+  for (guint i = 0; i < request->calls && i < CALLS_MAX; i++)
+    if (strcmp (request->tried[i], instance) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static struct iv_instance *
+round_robin (struct iv_router *router, const struct request *request, gint64 now_ms)
+{
+  for (guint i = 0; i < router->instances->len; i++)
+    {
+      struct iv_instance *instance
+          = instance_at (router, (router->next_instance + i) % router->instances->len);
+      if (strcmp (instance->service, request->service) != 0
+          || iv_instance_free_slots (instance, now_ms, request->info.deadline_ms) == 0)
+        continue;
+      router->next_instance = (router->next_instance + i + 1) % router->instances->len;
+      return instance;
+    }
+  return NULL;
+}
+
+static struct iv_instance *
+least_cost (struct iv_router *router, const struct request *request, gint64 now_ms)
+{
+  struct iv_instance *best = NULL;
+  double best_cost = 0;
+  for (guint i = 0; i < router->instances->len; i++)
+    {
+      struct iv_instance *instance = instance_at (router, i);
+      double cost;
+      if (strcmp (instance->service, request->service) != 0 || was_tried (request, instance->name)
+          || iv_instance_free_slots (instance, now_ms, request->info.deadline_ms) == 0)
+        continue;
+      cost = iv_instance_cost (instance, (double)router->options.remote_cost_ms);
+      if (best == NULL || cost < best_cost)
+        {
+          best = instance;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static struct iv_instance *
+choose (struct iv_router *router, const struct request *request, gint64 now_ms)
+{
+  return router->options.strategy == IV_ROUTER_ROUND_ROBIN ? round_robin (router, request, now_ms)
+                                                           : least_cost (router, request, now_ms);
+}
+
+static struct iv_action
+call_action (struct request *request, struct iv_instance *instance, gboolean hedge)
+{
+  struct iv_action action = { .kind = IV_ACTION_CALL,
+                              .request = request->info.id,
+                              .deadline_ms = request->info.deadline_ms,
+                              .hedge = hedge };
+  g_strlcpy (action.address, instance->address, sizeof action.address);
+  g_strlcpy (action.instance, instance->name, sizeof action.instance);
+  request->tried[request->calls++] = g_strdup (instance->name);
+  request->active++;
+  instance->in_flight++;
+  return action;
+}
+
+static gboolean
+next_refusal (struct iv_router *router, struct iv_action *action)
+{
+  struct refused *row = g_queue_pop_head (router->refused);
+  if (row == NULL)
+    return FALSE;
+  *action
+      = (struct iv_action){ .kind = IV_ACTION_REFUSE, .request = row->id, .refusal = row->refusal };
+  g_free (row);
+  return TRUE;
+}
+
+static gboolean
+next_probe (struct iv_router *router, gint64 now_ms, struct iv_action *action)
+{
+  for (guint i = 0; i < router->instances->len; i++)
+    {
+      struct iv_instance *instance = instance_at (router, i);
+      if (!iv_instance_probe_due (instance, now_ms))
+        continue;
+      *action = (struct iv_action){ .kind = IV_ACTION_PROBE };
+      g_strlcpy (action->address, instance->address, sizeof action->address);
+      g_strlcpy (action->instance, instance->name, sizeof action->instance);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* One request that finds no slot is enough to know that its service has none; others may have. */
+static gboolean
+next_call (struct iv_router *router, gint64 now_ms, struct iv_action *action)
+{
+  const char *stuck = NULL;
+  GList *next;
+  for (GList *l = router->queue->head; l; l = next)
+    {
+      struct request *request = l->data;
+      struct iv_instance *instance;
+      next = l->next;
+      if (now_ms >= request->info.deadline_ms)
+        {
+          *action = (struct iv_action){ .kind = IV_ACTION_REFUSE,
+                                        .request = request->info.id,
+                                        .refusal = IV_REFUSAL_EXPIRED };
+          remove_request (router, request);
+          return TRUE;
+        }
+      if (now_ms < request->not_before_ms || (stuck && strcmp (stuck, request->service) == 0))
+        continue;
+      instance = choose (router, request, now_ms);
+      if (instance == NULL)
+        {
+          if (request->calls == 0)
+            stuck = request->service;
+          continue;
+        }
+      dequeue (router, request);
+      *action = call_action (request, instance, FALSE);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+next_hedge (struct iv_router *router, gint64 now_ms, struct iv_action *action)
+{
+  GHashTableIter iter;
+  gpointer value;
+  if (router->options.hedge_after_ms == 0 && !router->hedges_due)
+    return FALSE;
+  router->hedges_due = FALSE;
+  g_hash_table_iter_init (&iter, router->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct request *request = value;
+      struct iv_instance *instance;
+      if (request->hedge_at_ms == 0 || now_ms < request->hedge_at_ms || request->active != 1
+          || request->calls >= CALLS_MAX || request->queued)
+        continue;
+      request->hedge_at_ms = 0;
+      instance = choose (router, request, now_ms);
+      if (instance == NULL || !iv_budget_take (&router->budget))
+        continue;
+      router->retries++;
+      router->hedges_due = TRUE;
+      *action = call_action (request, instance, TRUE);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+struct iv_action
+iv_router_next (struct iv_router *router, gint64 now_ms)
+{
+  struct iv_action action = { .kind = IV_ACTION_NONE };
+  if (next_refusal (router, &action) || next_probe (router, now_ms, &action)
+      || next_call (router, now_ms, &action) || next_hedge (router, now_ms, &action))
+    return action;
+  return action;
+}
+
+static gboolean
+may_retry (struct iv_router *router, const struct request *request, gint64 now_ms,
+           enum iv_call_outcome outcome)
+{
+  gboolean harmless = outcome == IV_CALL_NOT_SENT || outcome == IV_CALL_REFUSED;
+  if (outcome == IV_CALL_OK || request->calls >= CALLS_MAX || now_ms >= request->info.deadline_ms)
+    return FALSE;
+  if (!harmless && !request->info.idempotent)
+    return FALSE;
+  return router->options.unlimited_retries || iv_budget_take (&router->budget);
+}
+
+static gint64
+backoff (struct iv_router *router, guint calls)
+{
+  gint64 limit_ms = MIN ((gint64)BACKOFF_FIRST_MS << (calls - 1), BACKOFF_LIMIT_MS);
+  return (gint64)(gsl_rng_uniform (router->rng) * (double)limit_ms);
+}
+
+enum iv_verdict_kind
+iv_router_ended (struct iv_router *router, gint64 now_ms, guint64 id, const char *name,
+                 enum iv_call_outcome outcome, gint64 elapsed_ms)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, name);
+  struct request *request = g_hash_table_lookup (router->requests, &id);
+  if (instance)
+    iv_instance_ended (instance, now_ms, outcome, elapsed_ms, router->options.eject_ms,
+                       router->options.linger_ms);
+  if (outcome == IV_CALL_OK)
+    router->service_time_ms += SERVICE_TIME_WEIGHT * ((double)elapsed_ms - router->service_time_ms);
+  if (request == NULL)
+    return IV_ROUTE_FINAL;
+  request->active--;
+  if (outcome != IV_CALL_OK && request->active > 0)
+    return IV_ROUTE_WAIT;
+  if (!may_retry (router, request, now_ms, outcome))
+    {
+      remove_request (router, request);
+      return IV_ROUTE_FINAL;
+    }
+  router->retries++;
+  request->not_before_ms = now_ms + backoff (router, request->calls);
+  enqueue (router, request);
+  return IV_ROUTE_RETRY;
+}
+
+void
+iv_router_probed (struct iv_router *router, gint64 now_ms, const char *name, gboolean alive)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, name);
+  if (instance)
+    iv_instance_probed (instance, now_ms, alive);
+}
+
+void
+iv_router_hedge_now (struct iv_router *router, gint64 now_ms, guint64 id)
+{
+  struct request *request = g_hash_table_lookup (router->requests, &id);
+  if (request && request->info.idempotent)
+    {
+      request->hedge_at_ms = now_ms;
+      router->hedges_due = TRUE;
+    }
+}
+
+void
+iv_router_suspected (struct iv_router *router, gint64 now_ms, const char *name, gboolean alive)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, name);
+  if (instance && !alive)
+    iv_instance_suspected (instance, now_ms, router->options.eject_ms);
+}
+
+void
+iv_router_forget (struct iv_router *router, guint64 id)
+{
+  struct request *request = g_hash_table_lookup (router->requests, &id);
+  if (request)
+    remove_request (router, request);
+}
+
+guint
+iv_router_lend (struct iv_router *router, gint64 now_ms, const char *name, guint wanted,
+                gint64 until_ms)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, name);
+  guint slots;
+  if (instance == NULL || instance->lent_until_ms > now_ms || router->queue->length > 0)
+    return 0;
+  slots = MIN (wanted, iv_instance_free_slots (instance, now_ms, G_MAXINT64));
+  if (slots == 0)
+    return 0;
+  instance->lent = slots;
+  instance->lent_until_ms = until_ms;
+  return slots;
+}
+
+void
+iv_router_borrowed (struct iv_router *router, const char *name, guint slots, gint64 until_ms)
+{
+  struct iv_instance *instance = g_hash_table_lookup (router->by_name, name);
+  if (instance == NULL || slots == 0)
+    return;
+  instance->borrowed = slots;
+  instance->borrowed_until_ms = until_ms;
+}
+
+const char *
+iv_router_wants_loan (struct iv_router *router, gint64 now_ms)
+{
+  const struct request *first = g_queue_peek_head (router->queue);
+  const struct iv_instance *best = NULL;
+  if (first == NULL)
+    return NULL;
+  for (guint i = 0; i < router->instances->len; i++)
+    {
+      struct iv_instance *instance = instance_at (router, i);
+      if (strcmp (instance->service, first->service) != 0 || instance->state != IV_INSTANCE_UP
+          || instance->leaving || !instance->listed || instance->borrowed_until_ms > now_ms)
+        continue;
+      if (best == NULL || instance->latency_ms < best->latency_ms)
+        best = instance;
+    }
+  return best ? best->name : NULL;
+}
+
+guint
+iv_router_queued (const struct iv_router *router)
+{
+  return router->queue->length;
+}
+
+guint64
+iv_router_retries (const struct iv_router *router)
+{
+  return router->retries;
+}
+
+guint
+iv_router_up (const struct iv_router *router, const char *service)
+{
+  guint up;
+  usable_share (router, service, &up);
+  return up;
+}
+
+const struct iv_instance *
+iv_router_instance (const struct iv_router *router, const char *name)
+{
+  return g_hash_table_lookup (router->by_name, name);
+}
--- /dev/null
+++ b/sched/interference.c
@@ -0,0 +1,159 @@
+#include "interference.h"
+
+#include <math.h>
+#include <string.h>
+
+#define PRIOR_MEAN 0.3
+#define PRIOR_VARIANCE 0.25
+#define NOISE_VARIANCE 0.01
+#define DRIFT_VARIANCE_PER_SECOND 0.00002
+#define NEIGHBOURS_MAX 64
+#define SHARE_MIN 0.001
+
+struct pair
+{
+  double mean;
+  double variance;
+  guint samples;
+  gint64 updated_ms;
+};
+
+struct iv_interference
+{
+  GHashTable *workloads; /* name to number */
+  GHashTable *pairs;     /* victim and other to struct pair */
+  GHashTable *sources;   /* source to time of its last measurement */
+};
+
+static gpointer
+pair_key (guint32 victim, guint32 other)
+{
+  return GSIZE_TO_POINTER ((gsize)victim << 32 | other);
+}
+
+struct iv_interference *
+iv_interference_new (void)
+{
+  struct iv_interference *model = g_new0 (struct iv_interference, 1);
+  model->workloads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  model->pairs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  model->sources = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  return model;
+}
+
+void
+iv_interference_free (struct iv_interference *model)
+{
+  if (model == NULL)
+    return;
+  g_hash_table_destroy (model->workloads);
+  g_hash_table_destroy (model->pairs);
+  g_hash_table_destroy (model->sources);
+  g_free (model);
+}
+
+guint32
+iv_interference_workload (struct iv_interference *model, const char *name)
+{
+  guint32 number = GPOINTER_TO_UINT (g_hash_table_lookup (model->workloads, name));
+  if (number == 0)
+    {
+      number = g_hash_table_size (model->workloads) + 1;
+      g_hash_table_insert (model->workloads, g_strdup (name), GUINT_TO_POINTER (number));
+    }
+  return number;
+}
+
+static struct pair
+look_up (const struct iv_interference *model, guint32 victim, guint32 other, gint64 now_ms)
+{
+  const struct pair *known = g_hash_table_lookup (model->pairs, pair_key (victim, other));
+  struct pair pair = { PRIOR_MEAN, PRIOR_VARIANCE, 0, now_ms };
+  if (known == NULL)
+    return pair;
+  pair = *known;
+  if (now_ms > pair.updated_ms)
+    pair.variance += (double)(now_ms - pair.updated_ms) / 1000 * DRIFT_VARIANCE_PER_SECOND;
+  pair.variance = MIN (pair.variance, PRIOR_VARIANCE);
+  return pair;
+}
+
+static void
+store (struct iv_interference *model, guint32 victim, guint32 other, const struct pair *pair)
+{
+  gpointer key = pair_key (victim, other);
+  struct pair *row = g_hash_table_lookup (model->pairs, key);
+  if (row == NULL)
+    {
+      row = g_new (struct pair, 1);
+      g_hash_table_insert (model->pairs, key, row);
+    }
+  *row = *pair;
+}
+
+/* A report repeats the last measurement until a new one is there. */
+static gboolean
+is_new_measurement (struct iv_interference *model, guint64 source, gint64 measured_ms)
+{
+  gint64 id = (gint64)source;
+  gint64 *last = g_hash_table_lookup (model->sources, &id);
+  if (last && *last >= measured_ms)
+    return FALSE;
+  if (last)
+    *last = measured_ms;
+  else
+    {
+      gint64 *key = g_new (gint64, 1), *value = g_new (gint64, 1);
+      *key = id;
+      *value = measured_ms;
+      g_hash_table_insert (model->sources, key, value);
+    }
+  return TRUE;
+}
+
+void
+iv_interference_observe (struct iv_interference *model, guint32 victim,
+                         const struct iv_neighbour *neighbours, guint count, double slowdown,
+                         guint64 source, gint64 measured_ms)
+{
+  struct pair pairs[NEIGHBOURS_MAX];
+  double predicted = 0, spread = NOISE_VARIANCE, innovation;
+  count = MIN (count, NEIGHBOURS_MAX);
+  if (!is_new_measurement (model, source, measured_ms))
+    return;
+  for (guint i = 0; i < count; i++)
+    {
+      pairs[i] = look_up (model, victim, neighbours[i].workload, measured_ms);
+      predicted += pairs[i].mean * neighbours[i].share;
+      spread += pairs[i].variance * neighbours[i].share * neighbours[i].share;
+    }
+  innovation = slowdown - predicted;
+  for (guint i = 0; i < count; i++)
+    {
+      double share = neighbours[i].share;
+      double gain = pairs[i].variance * share / spread;
+      if (share < SHARE_MIN)
+        continue;
+      pairs[i].mean = MAX (0, pairs[i].mean + gain * innovation);
+      pairs[i].variance *= 1 - gain * share;
+      pairs[i].samples++;
+      pairs[i].updated_ms = MAX (pairs[i].updated_ms, measured_ms);
+      store (model, victim, neighbours[i].workload, &pairs[i]);
+    }
+}
+
+struct iv_pair_estimate
+iv_interference_pair (const struct iv_interference *model, guint32 victim, guint32 other,
+                      gint64 now_ms)
+{
+  struct pair pair = look_up (model, victim, other, now_ms);
+  return (struct iv_pair_estimate){ pair.mean, pair.variance, pair.samples };
+}
+
+double
+iv_interference_harm (const struct iv_interference *model, guint32 victim, guint32 other,
+                      double share, double caution, gint64 now_ms)
+{
+  struct pair pair = look_up (model, victim, other, now_ms);
+  return MAX (0, pair.mean + caution * sqrt (pair.variance)) * share;
+}
--- /dev/null
+++ b/state/cell_snapshot.c
@@ -0,0 +1,234 @@
+#include "cell.h"
+
+#include "cell_rows.h"
+
+#define SNAPSHOT_BYTES_MAX (64 * 1024 * 1024)
+
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  guint x = GPOINTER_TO_UINT (a), y = GPOINTER_TO_UINT (b);
+  return x < y ? -1 : x > y;
+}
+
+static GList *
+sorted_ids (GHashTable *table)
+{
+  return g_list_sort (g_hash_table_get_keys (table), compare_ids);
+}
+
+static void
+save_workers (const struct iv_cell *cell, ivx_cell_state *state)
+{
+  GList *ids = sorted_ids (cell->workers);
+  ivx_ledger_state *rows = g_new0 (ivx_ledger_state, g_list_length (ids) + 1);
+  guint n = 0;
+  for (GList *l = ids; l; l = l->next)
+    {
+      const struct iv_worker *worker = iv_cell_worker (cell, GPOINTER_TO_UINT (l->data));
+      ivx_ledger_state *row = &rows[n++];
+      row->id = worker->id;
+      row->worker = worker->info;
+      row->until_ms = worker->ledger.until_ms;
+      row->rows.rows_len = worker->ledger.rows->len;
+      row->rows.rows_val = (ivx_usage_row *)worker->ledger.rows->data;
+      row->gaps.gaps_len = worker->ledger.gaps->len;
+      row->gaps.gaps_val = (ivx_gap *)worker->ledger.gaps->data;
+    }
+  state->workers.workers_len = n;
+  state->workers.workers_val = rows;
+  g_list_free (ids);
+}
+
+static void
+save_jobs (const struct iv_cell *cell, ivx_cell_state *state)
+{
+  GList *ids = sorted_ids (cell->jobs);
+  ivx_job_state *rows = g_new0 (ivx_job_state, g_list_length (ids) + 1);
+  guint n = 0;
+  for (GList *l = ids; l; l = l->next)
+    {
+      const struct iv_job *job = iv_cell_job (cell, GPOINTER_TO_UINT (l->data));
+      rows[n++] = (ivx_job_state){ .id = job->id,
+                                   .item = job->item,
+                                   .gen = job->gen,
+                                   .cancelled = job->cancelled,
+                                   .admitted = job->admitted,
+                                   .done = job->done,
+                                   .failed = job->failed,
+                                   .cancel_count = job->cancel_count,
+                                   .unknown = job->unknown,
+                                   .live = job->live };
+    }
+  state->jobs.jobs_len = n;
+  state->jobs.jobs_val = rows;
+  g_list_free (ids);
+}
+
+static void
+save_tasks (const struct iv_cell *cell, ivx_cell_state *state)
+{
+  GList *ids = sorted_ids (cell->tasks);
+  ivx_task_state *rows = g_new0 (ivx_task_state, g_list_length (ids) + 1);
+  guint n = 0;
+  for (GList *l = ids; l; l = l->next)
+    {
+      const struct iv_task *task = iv_cell_task (cell, GPOINTER_TO_UINT (l->data));
+      rows[n++] = (ivx_task_state){ .id = task->id,
+                                    .job = task->job,
+                                    .index = task->index,
+                                    .state = task->state,
+                                    .attempt = task->attempt,
+                                    .worker = task->worker,
+                                    .progress_ms = task->progress_ms,
+                                    .failures = task->failures,
+                                    .moves = task->moves,
+                                    .bound_at = task->bound_at,
+                                    .to = task->to ? task->to : (char *)"" };
+    }
+  state->tasks.tasks_len = n;
+  state->tasks.tasks_val = rows;
+  g_list_free (ids);
+}
+
+static void
+save_imports (const struct iv_cell *cell, ivx_cell_state *state)
+{
+  guint n = 0;
+  state->imports.imports_val = g_new0 (u_quad_t, cell->import_order->length + 1);
+  for (GList *l = cell->import_order->head; l; l = l->next)
+    state->imports.imports_val[n++] = *(const guint64 *)l->data;
+  state->imports.imports_len = n;
+}
+
+/* The shallow struct borrows the state's memory, so only the row arrays made here are freed. */
+GByteArray *
+iv_cell_save (const struct iv_cell *cell)
+{
+  ivx_cell_state state = { .next = cell->next,
+                           .term = cell->term,
+                           .owner = cell->owner,
+                           .config_floor = cell->config_floor,
+                           .evictions = cell->evictions,
+                           .next_worker = cell->next_worker,
+                           .next_job = cell->next_job,
+                           .next_task = cell->next_task };
+  GByteArray *bytes;
+  state.writers.writers_len = cell->writers.rows->len;
+  state.writers.writers_val = (ivx_writer_state *)cell->writers.rows->data;
+  state.retired.retired_len = cell->retired->len;
+  state.retired.retired_val = (ivx_usage_row *)cell->retired->data;
+  save_workers (cell, &state);
+  save_jobs (cell, &state);
+  save_tasks (cell, &state);
+  save_imports (cell, &state);
+  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivx_cell_state, &state, SNAPSHOT_BYTES_MAX);
+  g_free (state.workers.workers_val);
+  g_free (state.jobs.jobs_val);
+  g_free (state.tasks.tasks_val);
+  g_free (state.imports.imports_val);
+  return bytes;
+}
+
+static void
+load_workers (struct iv_cell *cell, const ivx_cell_state *state)
+{
+  for (u_int i = 0; i < state->workers.workers_len; i++)
+    {
+      const ivx_ledger_state *row = &state->workers.workers_val[i];
+      struct iv_worker *worker = iv_cell_add_worker (cell, row->id, &row->worker);
+      worker->ledger.until_ms = row->until_ms;
+      for (u_int j = 0; j < row->rows.rows_len; j++)
+        {
+          const ivx_usage_row *usage = &row->rows.rows_val[j];
+          iv_rows_add (worker->ledger.rows, usage->kind, usage->team, usage->name, usage->units);
+        }
+      g_array_append_vals (worker->ledger.gaps, row->gaps.gaps_val, row->gaps.gaps_len);
+    }
+}
+
+static void
+load_jobs (struct iv_cell *cell, const ivx_cell_state *state)
+{
+  for (u_int i = 0; i < state->jobs.jobs_len; i++)
+    {
+      const ivx_job_state *row = &state->jobs.jobs_val[i];
+      struct iv_job *job = iv_cell_add_job (cell, row->id, &row->item, row->gen);
+      job->cancelled = row->cancelled;
+      job->admitted = row->admitted;
+      job->done = row->done;
+      job->failed = row->failed;
+      job->cancel_count = row->cancel_count;
+      job->unknown = row->unknown;
+    }
+}
+
+static gboolean
+load_task (struct iv_cell *cell, const ivx_task_state *row)
+{
+  struct iv_job *job = iv_cell_job (cell, row->job);
+  struct iv_worker *worker = iv_cell_worker (cell, row->worker);
+  struct iv_task *task;
+  if (job == NULL || row->state > IV_TASK_EXPORTING)
+    return FALSE;
+  if (row->state == IV_TASK_BOUND && (worker == NULL || !iv_worker_fits (worker, &job->item.size)))
+    return FALSE;
+  task = iv_cell_add_task (cell, row->id, job, row->index);
+  task->state = (enum iv_task_state)row->state;
+  task->attempt = row->attempt;
+  task->progress_ms = row->progress_ms;
+  task->failures = row->failures;
+  task->moves = row->moves;
+  task->bound_at = row->bound_at;
+  if (row->state == IV_TASK_EXPORTING)
+    task->to = g_strdup (row->to);
+  if (row->state == IV_TASK_BOUND)
+    iv_cell_commit (cell, task, worker);
+  return TRUE;
+}
+
+static gboolean
+load_rows (struct iv_cell *cell, const ivx_cell_state *state)
+{
+  load_workers (cell, state);
+  load_jobs (cell, state);
+  for (u_int i = 0; i < state->tasks.tasks_len; i++)
+    if (!load_task (cell, &state->tasks.tasks_val[i]))
+      return FALSE;
+  for (u_int i = 0; i < state->imports.imports_len; i++)
+    iv_cell_remember_import (cell, state->imports.imports_val[i]);
+  for (u_int i = 0; i < state->retired.retired_len; i++)
+    {
+      const ivx_usage_row *row = &state->retired.retired_val[i];
+      iv_rows_add (cell->retired, row->kind, row->team, row->name, row->units);
+    }
+  return TRUE;
+}
+
+struct iv_cell *
+iv_cell_load (const char *domain, const guint8 *bytes, gsize len)
+{
+  ivx_cell_state state = { 0 };
+  struct iv_cell *cell;
+  gboolean ok;
+  if (iv_xdr_decode ((iv_xdr_proc)xdr_ivx_cell_state, bytes, len, &state) != IV_OK)
+    return NULL;
+  cell = iv_cell_new (domain);
+  cell->next = state.next;
+  cell->term = state.term;
+  g_free (cell->owner);
+  cell->owner = g_strdup (state.owner);
+  cell->config_floor = state.config_floor;
+  cell->evictions = state.evictions;
+  cell->next_worker = state.next_worker;
+  cell->next_job = state.next_job;
+  cell->next_task = state.next_task;
+  g_array_append_vals (cell->writers.rows, state.writers.writers_val, state.writers.writers_len);
+  ok = load_rows (cell, &state);
+  xdr_free ((xdrproc_t)xdr_ivx_cell_state, (char *)&state);
+  if (ok)
+    return cell;
+  iv_cell_free (cell);
+  iv_fail (IV_ERR_INVALID, "a task in the snapshot refers to a missing job or worker");
+  return NULL;
+}
--- /dev/null
+++ b/state/ledger.c
@@ -0,0 +1,206 @@
+#include "ledger.h"
+
+#include <string.h>
+
+static void
+clear_row (gpointer data)
+{
+  xdr_free ((xdrproc_t)xdr_ivx_usage_row, data);
+}
+
+static GArray *
+new_rows (void)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (ivx_usage_row));
+  g_array_set_clear_func (rows, clear_row);
+  return rows;
+}
+
+static ivx_usage_row *
+find_row (GArray *rows, ivx_row_kind kind, const char *team, const char *name)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      ivx_usage_row *row = &g_array_index (rows, ivx_usage_row, i);
+      if (row->kind == kind && strcmp (row->name, name) == 0 && strcmp (row->team, team) == 0)
+        return row;
+    }
+  return NULL;
+}
+
+static guint64
+span_units (const struct iv_ledger *ledger, guint64 from_ms, guint64 until_ms)
+{
+  return ledger->cpu_milli * (until_ms - from_ms);
+}
+
+static gboolean
+sum_report (const ivx_usage *usage, guint64 limit, guint64 *sum)
+{
+  *sum = 0;
+  for (u_int i = 0; i < usage->rows.rows_len; i++)
+    {
+      const ivx_usage_row *row = &usage->rows.rows_val[i];
+      if (row->kind == IVX_ROW_UNATTRIBUTED || row->units > limit - *sum)
+        return FALSE;
+      *sum += row->units;
+    }
+  return TRUE;
+}
+
+static void
+book_rows (struct iv_ledger *ledger, const ivx_usage *usage)
+{
+  for (u_int i = 0; i < usage->rows.rows_len; i++)
+    {
+      const ivx_usage_row *row = &usage->rows.rows_val[i];
+      iv_rows_add (ledger->rows, row->kind, row->team, row->name, row->units);
+    }
+}
+
+static void
+open_gap (struct iv_ledger *ledger, guint64 from_ms, guint64 until_ms)
+{
+  ivx_gap gap = { from_ms, until_ms };
+  iv_rows_add (ledger->rows, IVX_ROW_UNATTRIBUTED, "", IV_CAUSE_GAP,
+               span_units (ledger, from_ms, until_ms));
+  if (ledger->gaps->len >= IV_GAPS_MAX)
+    g_array_remove_index (ledger->gaps, 0);
+  g_array_append_val (ledger->gaps, gap);
+}
+
+static gint
+find_gap (const struct iv_ledger *ledger, const ivx_usage *usage)
+{
+  for (guint i = 0; i < ledger->gaps->len; i++)
+    {
+      const ivx_gap *gap = &g_array_index (ledger->gaps, ivx_gap, i);
+      if (gap->from_ms <= usage->from_ms && usage->until_ms <= gap->until_ms)
+        return (gint)i;
+    }
+  return -1;
+}
+
+/* What the report covers leaves the gap, so that the same report cannot be booked twice. */
+static void
+shrink_gap (struct iv_ledger *ledger, guint index, const ivx_usage *usage)
+{
+  ivx_gap whole = g_array_index (ledger->gaps, ivx_gap, index);
+  ivx_gap before = { whole.from_ms, usage->from_ms };
+  ivx_gap after = { usage->until_ms, whole.until_ms };
+  g_array_remove_index (ledger->gaps, index);
+  if (after.from_ms < after.until_ms)
+    g_array_insert_val (ledger->gaps, index, after);
+  if (before.from_ms < before.until_ms)
+    g_array_insert_val (ledger->gaps, index, before);
+}
+
+static gboolean
+book_late (struct iv_ledger *ledger, const ivx_usage *usage)
+{
+  guint64 units = span_units (ledger, usage->from_ms, usage->until_ms);
+  gint gap = find_gap (ledger, usage);
+  guint64 sum;
+  if (gap < 0 || !sum_report (usage, units, &sum))
+    return FALSE;
+  find_row (ledger->rows, IVX_ROW_UNATTRIBUTED, "", IV_CAUSE_GAP)->units -= units;
+  book_rows (ledger, usage);
+  iv_rows_add (ledger->rows, IVX_ROW_UNATTRIBUTED, "", IV_CAUSE_REST, units - sum);
+  shrink_gap (ledger, (guint)gap, usage);
+  return TRUE;
+}
+
+void
+iv_ledger_init (struct iv_ledger *ledger, guint64 cpu_milli, guint64 start_ms)
+{
+  ledger->cpu_milli = cpu_milli;
+  ledger->start_ms = start_ms;
+  ledger->until_ms = start_ms;
+  ledger->rows = new_rows ();
+  ledger->gaps = g_array_new (FALSE, FALSE, sizeof (ivx_gap));
+}
+
+void
+iv_ledger_clear (struct iv_ledger *ledger)
+{
+  iv_rows_free (ledger->rows);
+  g_array_free (ledger->gaps, TRUE);
+  ledger->rows = NULL;
+  ledger->gaps = NULL;
+}
+
+gboolean
+iv_ledger_book (struct iv_ledger *ledger, const ivx_usage *usage)
+{
+  guint64 units, sum;
+  if (usage->until_ms <= usage->from_ms || usage->until_ms - usage->from_ms > G_MAXUINT32)
+    return FALSE;
+  if (usage->until_ms <= ledger->until_ms)
+    return book_late (ledger, usage);
+  if (usage->from_ms < ledger->until_ms)
+    return FALSE;
+  units = span_units (ledger, usage->from_ms, usage->until_ms);
+  if (!sum_report (usage, units, &sum))
+    return FALSE;
+  if (usage->from_ms > ledger->until_ms)
+    open_gap (ledger, ledger->until_ms, usage->from_ms);
+  book_rows (ledger, usage);
+  iv_rows_add (ledger->rows, IVX_ROW_UNATTRIBUTED, "", IV_CAUSE_REST, units - sum);
+  ledger->until_ms = usage->until_ms;
+  return TRUE;
+}
+
+gboolean
+iv_ledger_has_gap (const struct iv_ledger *ledger, const ivx_usage *usage)
+{
+  return find_gap (ledger, usage) >= 0;
+}
+
+void
+iv_ledger_close (struct iv_ledger *ledger, guint64 end_ms)
+{
+  if (end_ms <= ledger->until_ms)
+    return;
+  iv_rows_add (ledger->rows, IVX_ROW_UNATTRIBUTED, "", IV_CAUSE_LOST,
+               span_units (ledger, ledger->until_ms, end_ms));
+  ledger->until_ms = end_ms;
+}
+
+void
+iv_rows_add (GArray *rows, ivx_row_kind kind, const char *team, const char *name, guint64 units)
+{
+  ivx_usage_row *known = find_row (rows, kind, team, name);
+  ivx_usage_row row = { .kind = kind, .units = units };
+  if (known)
+    {
+      known->units += units;
+      return;
+    }
+  if (units == 0)
+    return;
+  row.team = iv_record_string (team);
+  row.name = iv_record_string (name);
+  g_array_append_val (rows, row);
+}
+
+guint64
+iv_rows_total (const GArray *rows)
+{
+  guint64 total = 0;
+  for (guint i = 0; i < rows->len; i++)
+    total += g_array_index (rows, ivx_usage_row, i).units;
+  return total;
+}
+
+void
+iv_rows_free (GArray *rows)
+{
+  if (rows)
+    g_array_free (rows, TRUE);
+}
+
+gboolean
+iv_ledger_balanced (const struct iv_ledger *ledger)
+{
+  return iv_rows_total (ledger->rows) == span_units (ledger, ledger->start_ms, ledger->until_ms);
+}
--- /dev/null
+++ b/state/records.x
@@ -0,0 +1,213 @@
+/*
+ * Records on the platform's log, in XDR. One batch is one append.
+ * The stream "config" holds what every host folds; "domain.NAME" holds one failure domain's
+ * scheduling; "keys" holds idempotency keys.
+ */
+
+const IVX_NAME = 64;
+const IVX_TEXT = 65536;
+const IVX_BATCH = 4096;
+const IVX_CHUNK = 262144;
+const IVX_CELLS = 64;
+
+typedef string ivx_name<IVX_NAME>;
+
+enum ivx_kind
+{
+  IVX_RELEASE = 1,
+  IVX_DOMAIN = 2,
+  IVX_SUBMIT = 3,
+  IVX_CANCEL = 4,
+  IVX_PROGRESS = 5,
+  IVX_CHUNK_REC = 6,
+  IVX_CLAIM = 10,
+  IVX_RENEW = 11,
+  IVX_WORKER = 12,
+  IVX_WORKER_GONE = 13,
+  IVX_ADMIT = 14,
+  IVX_BIND = 15,
+  IVX_FINISH = 16,
+  IVX_REQUEUE = 17,
+  IVX_CANCEL_JOB = 18,
+  IVX_EXPORT = 19,
+  IVX_IMPORT = 20,
+  IVX_EXPORTED = 21,
+  IVX_USAGE = 22,
+  IVX_FORGET = 23,
+  IVX_INTENT = 30,
+  IVX_OUTCOME = 31
+};
+
+enum ivx_change { IVX_ADDED = 1, IVX_CHANGED = 2, IVX_WITHDRAWN = 3 };
+enum ivx_type { IVX_SERVICE = 1, IVX_JOB = 2, IVX_TEAM = 3 };
+
+struct ivx_share { ivx_name domain; unsigned first; unsigned count; };
+
+struct ivx_size { unsigned cpu_milli; unsigned memory_mib; unsigned accelerators; };
+
+/* A service, job or team. A field that its type does not use is zero. */
+struct ivx_item
+{
+  ivx_change change;
+  ivx_type type;
+  ivx_name name;
+  ivx_name team;
+  ivx_size size;
+  unsigned tasks;
+  unsigned priority;
+  unsigned run_ms;
+  unsigned latency_ms;
+  unsigned horizon_ms;
+  unsigned quota_milli;
+  bool urgent;
+  bool gang;
+  bool at_most_once;
+  bool idempotent;
+  ivx_share shares<IVX_CELLS>;
+};
+
+struct ivx_release { unsigned number; unsigned base; string author<IVX_NAME>; string text<IVX_TEXT>; ivx_item items<IVX_BATCH>; };
+struct ivx_domain { ivx_name name; bool out; };
+struct ivx_cancel { ivx_name job; };
+struct ivx_progress { ivx_name job; unsigned hyper gen; ivx_name domain; unsigned done; unsigned failed; unsigned cancelled; unsigned unknown; };
+struct ivx_chunk { unsigned hyper covers; unsigned index; unsigned total; unsigned hyper digest; opaque bytes<IVX_CHUNK>; };
+
+struct ivx_claim { unsigned term; ivx_name host; };
+struct ivx_worker { ivx_name name; ivx_name rack; ivx_name address; ivx_size size; unsigned hyper start_ms; };
+struct ivx_gone { unsigned worker; unsigned hyper end_ms; };
+/* `config_next` is the writer's position in the config stream. */
+struct ivx_admit { ivx_item item; unsigned hyper gen; unsigned first; unsigned count; unsigned hyper config_next; };
+struct ivx_bind { unsigned task; unsigned worker; };
+enum ivx_result { IVX_DONE = 1, IVX_FAILED = 2, IVX_CANCELLED = 3, IVX_UNKNOWN = 4, IVX_IMPOSSIBLE = 5 };
+struct ivx_finish { unsigned task; unsigned attempt; ivx_result result; };
+struct ivx_requeue { unsigned task; unsigned attempt; unsigned progress_ms; bool evicted; bool failed; };
+struct ivx_cancel_job { ivx_name job; unsigned hyper gen; };
+struct ivx_forget { ivx_name job; unsigned hyper gen; unsigned hyper config_next; };
+struct ivx_export { unsigned task; ivx_name to; };
+struct ivx_import { ivx_item item; unsigned hyper gen; unsigned index; unsigned attempt; unsigned moves; unsigned progress_ms; };
+struct ivx_exported { unsigned task; };
+
+/* Host time in core-microseconds. */
+enum ivx_row_kind { IVX_ROW_WORKLOAD = 1, IVX_ROW_IDLE = 2, IVX_ROW_OVERHEAD = 3, IVX_ROW_UNATTRIBUTED = 4 };
+struct ivx_usage_row { ivx_row_kind kind; ivx_name team; ivx_name name; unsigned hyper units; };
+struct ivx_usage { unsigned worker; unsigned hyper from_ms; unsigned hyper until_ms; ivx_usage_row rows<IVX_BATCH>; };
+struct ivx_intent { unsigned hyper hi; unsigned hyper lo; ivx_name host; };
+struct ivx_outcome { unsigned hyper hi; unsigned hyper lo; unsigned status; };
+
+union ivx_record switch (ivx_kind kind)
+{
+  case IVX_RELEASE: ivx_release release;
+  case IVX_DOMAIN: ivx_domain domain;
+  case IVX_SUBMIT: ivx_item submit;
+  case IVX_CANCEL: ivx_cancel cancel;
+  case IVX_PROGRESS: ivx_progress progress;
+  case IVX_CHUNK_REC: ivx_chunk chunk;
+  case IVX_CLAIM: ivx_claim claim;
+  case IVX_RENEW: void;
+  case IVX_WORKER: ivx_worker worker;
+  case IVX_WORKER_GONE: ivx_gone gone;
+  case IVX_ADMIT: ivx_admit admit;
+  case IVX_BIND: ivx_bind bind;
+  case IVX_FINISH: ivx_finish finish;
+  case IVX_REQUEUE: ivx_requeue requeue;
+  case IVX_CANCEL_JOB: ivx_cancel_job cancel_job;
+  case IVX_EXPORT: ivx_export move;
+  case IVX_IMPORT: ivx_import arrival;
+  case IVX_EXPORTED: ivx_exported exported;
+  case IVX_USAGE: ivx_usage usage;
+  case IVX_FORGET: ivx_forget forget;
+  case IVX_INTENT: ivx_intent intent;
+  case IVX_OUTCOME: ivx_outcome outcome;
+};
+
+/* One append. `sequence` counts up by one within a writer's incarnation; `term` guards the records
+   of a failure domain's owner and is zero elsewhere. */
+struct ivx_batch
+{
+  unsigned hyper writer;
+  unsigned hyper incarnation;
+  unsigned hyper sequence;
+  unsigned term;
+  ivx_record records<IVX_BATCH>;
+};
+
+/* Snapshots: the whole state after every record below `next`. */
+
+struct ivx_writer_state { unsigned hyper writer; unsigned hyper incarnation; unsigned hyper sequence; };
+
+struct ivx_item_state
+{
+  ivx_item item;
+  unsigned hyper gen;
+  bool ended;
+  ivx_progress progress<IVX_CELLS>;
+};
+struct ivx_history_state { unsigned number; string author<IVX_NAME>; unsigned hyper offset; unsigned added; unsigned changed; unsigned withdrawn; };
+struct ivx_domain_state { ivx_name name; bool out; unsigned hyper since; };
+
+struct ivx_config_state
+{
+  unsigned hyper next;
+  unsigned release;
+  string text<IVX_TEXT>;
+  ivx_writer_state writers<>;
+  ivx_history_state history<>;
+  ivx_domain_state domains<>;
+  ivx_item_state items<>;
+  ivx_name ended<>;
+};
+
+struct ivx_gap { unsigned hyper from_ms; unsigned hyper until_ms; };
+struct ivx_ledger_state
+{
+  unsigned id;
+  ivx_worker worker;
+  bool gone;
+  unsigned hyper until_ms;
+  ivx_usage_row rows<>;
+  ivx_gap gaps<>;
+};
+struct ivx_job_state
+{
+  unsigned id;
+  ivx_item item;
+  unsigned hyper gen;
+  bool cancelled;
+  bool admitted;
+  unsigned done;
+  unsigned failed;
+  unsigned cancel_count;
+  unsigned unknown;
+  unsigned live;
+};
+struct ivx_task_state
+{
+  unsigned id;
+  unsigned job;
+  unsigned index;
+  unsigned state;
+  unsigned attempt;
+  unsigned worker;
+  unsigned progress_ms;
+  unsigned failures;
+  unsigned moves;
+  unsigned hyper bound_at;
+  ivx_name to;
+};
+struct ivx_cell_state
+{
+  unsigned hyper next;
+  unsigned term;
+  ivx_name owner;
+  unsigned hyper config_floor;
+  unsigned evictions;
+  unsigned next_worker;
+  unsigned next_job;
+  unsigned next_task;
+  ivx_writer_state writers<>;
+  ivx_ledger_state workers<>;
+  ivx_job_state jobs<>;
+  ivx_task_state tasks<>;
+  unsigned hyper imports<>;
+  ivx_usage_row retired<>;
+};
--- /dev/null
+++ b/tests/scripts/cluster.sh
@@ -0,0 +1,156 @@
+# Functions that start the whole path as separate processes on loopback, for the demo, the fault
+# matrix and the benchmarks. Source it; set BUILD and BASE (first port) before cluster_start.
+
+PIDS=()
+IP=127.0.0.1
+
+declare -A HOST_PID HOST_CONF HOST_DOMAIN
+HOSTS=()
+
+# spawn LOG COMMAND...: start a process and remember it; SPAWNED is its pid.
+spawn() {
+  local log=$1
+  shift
+  "$@" >"$WORK/$log.out" 2>>"$WORK/$log.log" &
+  SPAWNED=$!
+  PIDS+=("$SPAWNED")
+}
+
+cluster_stop() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done
+  sleep 0.1
+  for pid in "${PIDS[@]}"; do kill -9 "$pid" 2>/dev/null; wait "$pid" 2>/dev/null; done
+  PIDS=()
+  [ -n "${KEEP_WORK:-}" ] || rm -rf "$WORK"
+}
+
+# host_settings NAME DOMAIN INDEX: settings of one entry host, with the members set before.
+host_settings() {
+  local name=$1 domain=$2 index=$3 d backups=""
+  for d in "${DOMAINS[@]}"; do [ "$d" = "$domain" ] || backups="$backups${backups:+, }$d"; done
+  cat <<EOF
+user: $USER_NAME
+host: $name
+domain: $domain
+log_level: ${LOG_LEVEL:-info}
+listen:
+  callers: $IP:$((BASE + 100 + 10 * index))
+  operators: $IP:$((BASE + 101 + 10 * index))
+  peers: $IP:$((BASE + 102 + 10 * index))
+platform:
+  address: $IP:$((BASE + 1 + $(domain_index "$domain")))
+  timeout: ${PLATFORM_TIMEOUT:-500ms}
+  hosts_every: 300ms
+members:
+$MEMBERS
+scheduling:
+  backup_for: [$backups]
+  lease: ${LEASE:-3s}
+  start_window: 500ms
+  evidence: ${EVIDENCE:-1500ms}
+  horizon: ${HORIZON:-4s}
+  takeover: ${TAKEOVER:-1500ms}
+  renew: 300ms
+  sync: 300ms
+  sync_timeout: 800ms
+  drain: 1s
+  cooldown: 2s
+  snapshot_every: ${SNAPSHOT_EVERY:-200}
+routing:
+  timeout: 3s
+  silence: 400ms
+  eject: 500ms
+  drain: 5s
+EOF
+}
+
+domain_index() {
+  local i
+  for i in "${!DOMAINS[@]}"; do [ "${DOMAINS[$i]}" = "$1" ] && echo "$i"; done
+}
+
+# host_start NAME: start (again) an entry host.
+host_start() {
+  spawn "$1" "$BUILD/daemon/ibisvaned" --config "${HOST_CONF[$1]}"
+  HOST_PID[$1]=$SPAWNED
+}
+
+operators_of() { echo "$IP:$((BASE + 101 + 10 * $(host_index "$1")))"; }
+callers_of() { echo "$IP:$((BASE + 100 + 10 * $(host_index "$1")))"; }
+host_index() {
+  local i
+  for i in "${!HOSTS[@]}"; do [ "${HOSTS[$i]}" = "$1" ] && echo "$i"; done
+}
+
+# ctl HOST WORDS...: the operators' command against one entry host.
+ctl() {
+  local host=$1
+  shift
+  "$BUILD/cli/ibisvane" --server "$(operators_of "$host")" "$@"
+}
+
+# wait_for SECONDS COMMAND...: until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -ge "$end" ] && return 1
+    sleep 0.1
+  done
+}
+
+http() { curl -s -m "${HTTP_TIMEOUT:-5}" "$@"; }
+is_ready() { [ "$(http -o /dev/null -w '%{http_code}' "http://$(operators_of "$1")/readyz")" = 200 ]; }
+release_is() { ctl "$1" release show 2>/dev/null | grep -qx "release $2"; }
+job_is() { ctl "$1" job list 2>/dev/null | grep -E " $2 .* $3\$" >/dev/null; }
+platform_fault() { http -X POST "http://$IP:$((BASE + 1 + $(domain_index "$1")))/faults?$2" >/dev/null; }
+
+all_owned() {
+  local d
+  for d in "${DOMAINS[@]}"; do
+    ctl "${HOSTS[0]}" status --output json | tr -d ' \n' | grep -qE "\"domain\":\"$d\",\"out\":(true|false),\"owner\":\"[^\"]+\"" || return 1
+  done
+}
+
+# cluster_start USER SERVICE WORKERS INSTANCES HOSTS_IN_EACH_DOMAIN...: DOMAINS is set before.
+cluster_start() {
+  USER_NAME=$1 SERVICE=$2
+  local workers=$3 instances=$4 i n index=0 name d addresses=()
+  shift 4
+  WORK=$(mktemp -d)
+  MEMBERS=""
+  HOSTS=()
+  for i in "${!DOMAINS[@]}"; do
+    addresses+=("$IP:$((BASE + 1 + i))")
+  done
+  local counts=("$@")
+  for i in "${!DOMAINS[@]}"; do
+    for n in $(seq 1 "${counts[$i]}"); do
+      name="${DOMAINS[$i]}-$n"
+      MEMBERS="$MEMBERS  - {host: $name, domain: ${DOMAINS[$i]}, peers: '$IP:$((BASE + 102 + 10 * index))'}"$'\n'
+      HOSTS+=("$name")
+      HOST_DOMAIN[$name]=${DOMAINS[$i]}
+      index=$((index + 1))
+    done
+  done
+  spawn platform "$BUILD/tests/platform_standin" "${addresses[@]}"
+  PLATFORM_PID=$SPAWNED
+  for i in "${!DOMAINS[@]}"; do
+    d=${DOMAINS[$i]}
+    spawn "workers-$d" "$BUILD/tests/worker_standin" "${addresses[0]}" "$IP:$((BASE + 300 + 100 * i))" "$workers" "$d" "$d-w" \
+      "${WORKER_CPU:-64000}" "${WORKER_MEMORY:-256000}" "${WORKER_ACCELERATORS:-0}" "${USAGE_LAG:-1000}"
+    eval "WORKERS_PID_$i=$SPAWNED"
+    spawn "upstreams-$d" "$BUILD/tests/upstream_standin" "${addresses[0]}" "$IP:$((BASE + 700 + 100 * i))" "$instances" "$d" \
+      "$SERVICE" "$d-u" 8 64 "${WORK_MS:-10}"
+    eval "UPSTREAMS_PID_$i=$SPAWNED"
+  done
+  for i in "${!HOSTS[@]}"; do
+    name=${HOSTS[$i]}
+    HOST_CONF[$name]="$WORK/$name.yaml"
+    host_settings "$name" "${HOST_DOMAIN[$name]}" "$i" >"${HOST_CONF[$name]}"
+    host_start "$name"
+  done
+  for name in "${HOSTS[@]}"; do wait_for 20 is_ready "$name" || echo "not ready: $name" >&2; done
+  wait_for 20 all_owned || echo "some failure domain has no owner" >&2
+}
--- /dev/null
+++ b/tests/standins/caller.c
@@ -0,0 +1,161 @@
+/**
+ * @file caller.c
+ * A caller that keeps a number of requests under way and prints latencies and outcomes.
+ *
+ * Usage: caller_load ADDRESS[,ADDRESS...] PATH REQUESTS CONCURRENCY [RATE_PER_S [TIMEOUT_MS
+ * [KEY_PREFIX]]] With a rate, requests start on schedule however many are under way, up to
+ * CONCURRENCY. With a key prefix they are POSTs with an idempotency key each. Each answer is
+ * checked to be its own.
+ */
+#include "http_client.h"
+#include "standin.h"
+
+#include <gsl/gsl_statistics_double.h>
+#include <gsl/gsl_sort.h>
+#include <stdio.h>
+
+struct load
+{
+  char **addresses;
+  guint address_count;
+  const char *path;
+  guint total, concurrency;
+  double rate;
+  gint64 timeout_ms;
+  const char *key_prefix;
+  guint started, ended, active;
+  guint ok, not_run, may_have_run, wrong, broken;
+  double *latencies_ms;
+  gint64 began_us;
+  uv_loop_t *loop;
+  struct iv_http_client *client;
+};
+
+struct request
+{
+  struct load *load;
+  guint number;
+  gint64 started_us;
+};
+
+static void start_some (struct load *load);
+
+static gboolean
+is_own_answer (const struct request *request, const struct iv_http_reply *reply)
+{
+  char *mark = g_strdup_printf ("n=%u ", request->number);
+  char *text = g_strndup ((const char *)reply->body->data, reply->body->len);
+  gboolean own = strstr (text, mark) != NULL;
+  g_free (mark);
+  g_free (text);
+  return own;
+}
+
+static void
+on_done (void *context, const struct iv_http_reply *reply)
+{
+  struct request *request = context;
+  struct load *load = request->load;
+  const char *outcome = iv_http_reply_header (reply, "x-ibisvane-outcome");
+  if (reply->result != IV_HTTP_WHOLE)
+    load->broken++;
+  else if (reply->status == 200 && is_own_answer (request, reply))
+    load->latencies_ms[load->ok++] = (double)(g_get_monotonic_time () - request->started_us) / 1000;
+  else if (reply->status == 200)
+    load->wrong++;
+  else if (outcome && strcmp (outcome, "may-have-run") == 0)
+    load->may_have_run++;
+  else
+    load->not_run++;
+  load->ended++;
+  load->active--;
+  g_free (request);
+  if (load->ended == load->total)
+    uv_stop (load->loop);
+  else
+    start_some (load);
+}
+
+static void
+start_one (struct load *load)
+{
+  struct request *request = g_new0 (struct request, 1);
+  char *path = g_strdup_printf ("%s?n=%u", load->path, load->started);
+  char *key = load->key_prefix ? g_strdup_printf ("%s-%u", load->key_prefix, load->started) : NULL;
+  char timeout[24];
+  struct iv_http_header headers[]
+      = { { "x-timeout-ms", timeout }, { "idempotency-key", key }, { NULL, NULL } };
+  struct iv_http_call call = { .method = key ? "POST" : "GET", .path = path, .headers = headers };
+  if (key == NULL)
+    headers[1].name = NULL;
+  snprintf (timeout, sizeof timeout, "%" G_GINT64_FORMAT, load->timeout_ms);
+  request->load = load;
+  request->number = load->started;
+  request->started_us = g_get_monotonic_time ();
+  call.deadline_ms = (gint64)uv_now (load->loop) + load->timeout_ms + 1000;
+  load->active++;
+  iv_http_call (load->client, load->addresses[load->started++ % load->address_count], &call,
+                on_done, request);
+  g_free (path);
+  g_free (key);
+}
+
+static void
+start_some (struct load *load)
+{
+  guint due = load->total;
+  if (load->rate > 0)
+    due = (guint)MIN ((double)load->total,
+                      load->rate * (double)(g_get_monotonic_time () - load->began_us) / 1e6);
+  while (load->started < due && load->active < load->concurrency)
+    start_one (load);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  start_some (timer->data);
+}
+
+static void
+print (struct load *load)
+{
+  double seconds = (double)(g_get_monotonic_time () - load->began_us) / 1e6;
+  gsl_sort (load->latencies_ms, 1, load->ok);
+  printf (
+      "requests=%u ok=%u not_run=%u may_have_run=%u wrong=%u broken=%u seconds=%.3f rate=%.1f "
+      "p50_ms=%.2f p99_ms=%.2f p999_ms=%.2f\n",
+      load->total, load->ok, load->not_run, load->may_have_run, load->wrong, load->broken, seconds,
+      load->ok / seconds,
+      load->ok ? gsl_stats_quantile_from_sorted_data (load->latencies_ms, 1, load->ok, 0.5) : 0,
+      load->ok ? gsl_stats_quantile_from_sorted_data (load->latencies_ms, 1, load->ok, 0.99) : 0,
+      load->ok ? gsl_stats_quantile_from_sorted_data (load->latencies_ms, 1, load->ok, 0.999) : 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct load load = { 0 };
+  uv_timer_t tick;
+  if (argc < 5)
+    return 64;
+  load.addresses = g_strsplit (argv[1], ",", -1);
+  load.address_count = g_strv_length (load.addresses);
+  load.path = argv[2];
+  load.total = (guint)atoi (argv[3]);
+  load.concurrency = (guint)atoi (argv[4]);
+  load.rate = argc > 5 ? atof (argv[5]) : 0;
+  load.timeout_ms = argc > 6 ? atoi (argv[6]) : 5000;
+  load.key_prefix = argc > 7 ? argv[7] : NULL;
+  load.latencies_ms = g_new (double, load.total + 1);
+  load.loop = uv_default_loop ();
+  load.client
+      = iv_http_client_new (load.loop, iv_deadlines_new (load.loop), 3600000, 64 * 1024 * 1024);
+  load.began_us = g_get_monotonic_time ();
+  uv_timer_init (load.loop, &tick);
+  tick.data = &load;
+  uv_timer_start (&tick, on_tick, 0, 1);
+  uv_run (load.loop, UV_RUN_DEFAULT);
+  print (&load);
+  return load.wrong == 0 ? 0 : 1;
+}
