--- a/daemon/config_task.c
+++ b/daemon/config_task.c
@@ -30,6 +30,7 @@
   gint64 evidence_ms;
   GQueue *recent; /* of struct recent, oldest first: for peers */
   guint64 snapshot_at;
+  gint64 snapshot_due_ms;
   gboolean snapshot_pending;
 };
 
@@ -121,19 +122,21 @@
 {
   GArray *chunks;
   GByteArray *bytes;
-  gint64 deadline_ms = iv_app_now (task->app) + SNAPSHOT_TIMEOUT_MS;
-  if (task->snapshot_pending
-      || task->config->next
-             < task->snapshot_at + (guint64)task->app->settings->scheduling.snapshot_every
+  const struct iv_scheduling_settings *settings = &task->app->settings->scheduling;
+  gint64 now = iv_app_now (task->app);
+  gboolean due = now >= task->snapshot_due_ms
+                 || task->config->next >= task->snapshot_at + (guint64) settings->snapshot_every;
+  if (task->snapshot_pending || !due || task->config->next == 0
       || !iv_domain_task_owns (task->app, g_ptr_array_index (task->app->domains, 0)))
     return;
+  task->snapshot_due_ms = now + settings->snapshot_ms;
   bytes = iv_config_save (task->config);
   chunks = iv_records_new ();
   iv_chunks_cut (chunks, bytes, task->config->next);
   task->snapshot_at = task->config->next;
   task->snapshot_pending = TRUE;
   for (guint i = 0; i < chunks->len; i++)
-    iv_appender_add (task->appender, &g_array_index (chunks, ivx_record, i), FALSE, deadline_ms,
+    iv_appender_add (task->appender, &g_array_index (chunks, ivx_record, i), FALSE, now + SNAPSHOT_TIMEOUT_MS,
                      i + 1 == chunks->len ? on_snapshot_appended : NULL, task);
   g_array_set_clear_func (chunks, NULL);
   g_array_free (chunks, TRUE);
--- a/daemon/domain_task.c
+++ b/daemon/domain_task.c
@@ -304,6 +304,7 @@
   options.clock_rate_permille = s->clock_rate_permille;
   options.starts_per_step = (guint)s->starts_per_step;
   options.snapshot_every = (guint)s->snapshot_every;
+  options.snapshot_ms = s->snapshot_ms;
   options.throttle_above = (double)s->throttle_above / 100;
   options.evict_above = (double)s->evict_above / 100;
   options.weights.tail = (double)s->weights.tail / 100;
--- a/daemon/operator_task.c
+++ b/daemon/operator_task.c
@@ -262,7 +262,7 @@
       = iv_config_item (iv_config_task_state (waiting->task->app->config), waiting->job);
   if (!answer_lost_append (waiting, status))
     {
-      if (item && item->gen >> 12 == offset)
+      if (item && iv_gen_offset (item->gen) == offset)
         answer_object (waiting->http, 201,
                        json_pack ("{s:s,s:I}", "job", waiting->job, "offset", (json_int_t)offset));
       else
--- a/sched/planner.c
+++ b/sched/planner.c
@@ -66,6 +66,7 @@
     .clock_rate_permille = 10,
     .starts_per_step = 512,
     .snapshot_every = 2000,
+    .snapshot_ms = 300000,
     .throttle_above = 0.25,
     .evict_above = 0.6,
     .strategy = IV_STRATEGY_HARM,
@@ -194,6 +195,7 @@
 start_term (struct iv_planner *planner, gint64 now_ms)
 {
   planner->owned_since_ms = now_ms;
+  planner->snapshot_due_ms = now_ms;
   g_hash_table_remove_all (planner->views);
   g_hash_table_remove_all (planner->task_views);
   g_hash_table_remove_all (planner->moved);
@@ -361,13 +363,15 @@
 }
 
 static void
-plan_snapshot (struct iv_planner *planner)
+plan_snapshot (struct iv_planner *planner, gint64 now_ms)
 {
   GByteArray *bytes;
   GArray *chunks;
   if (!g_queue_is_empty (planner->snapshot_records)
-      || planner->cell->next < planner->snapshot_at + planner->options.snapshot_every)
+      || (planner->cell->next < planner->snapshot_at + planner->options.snapshot_every
+          && now_ms < planner->snapshot_due_ms))
     return;
+  planner->snapshot_due_ms = now_ms + planner->options.snapshot_ms;
   bytes = iv_cell_save (planner->cell);
   chunks = iv_records_new ();
   iv_chunks_cut (chunks, bytes, planner->cell->next);
@@ -410,7 +414,7 @@
   iv_planner_plan_bound (planner, now.mono_ms, records);
   iv_planner_plan_queued (planner, now.mono_ms, pick, context, records);
   trim (records);
-  plan_snapshot (planner);
+  plan_snapshot (planner, now.mono_ms);
   if (records->len == 0)
     add_snapshot_chunk (planner, records);
   if (records->len == 0 && now.mono_ms - planner->last_append_ms >= planner->options.renew_ms)
--- a/sched/planner_admit.c
+++ b/sched/planner_admit.c
@@ -47,11 +47,14 @@
     }
 }
 
-/* A definition is over when it ended, was replaced, or is no longer remembered. */
+/* A definition is over when it ended, was replaced, or is no longer remembered; not when this host has
+   yet to read it, as it may for a task that came from another failure domain. */
 static gboolean
 job_is_over (const struct iv_planner *planner, const struct iv_job *job)
 {
   const struct iv_item *item = iv_config_item (planner->config, job->item.name);
+  if (planner->config->next <= iv_gen_offset (job->gen))
+    return FALSE;
   return item == NULL || item->gen != job->gen || item->ended;
 }
 
--- a/sched/planner_private.h
+++ b/sched/planner_private.h
@@ -32,6 +32,7 @@
   gboolean start_sent;
   guint64 start_boot; /**< boot of the worker that the start was sent to */
   gboolean evict;
+  gboolean ending; /**< its end or return to the queue is being recorded: no start, no renewal */
   guint32 speed_permille;
   gint64 settled_until_ms; /**< the guard leaves the task alone until then */
   guint strikes;           /**< fresh measurements in a row above the limit */
@@ -56,6 +57,7 @@
   gint64 cell_evidence_ms;
   gint64 last_append_ms;
   gint64 config_evidence_ms;
+  gint64 snapshot_due_ms;
   guint64 snapshot_at;      /**< offset at which the last snapshot was seen */
   GQueue *snapshot_records; /**< chunks still to append, of ivx_record* */
   const struct iv_config *config;
--- a/sched/planner_workers.c
+++ b/sched/planner_workers.c
@@ -128,18 +128,20 @@
 }
 
 static void
-add_finish (GArray *records, const struct iv_task *task, ivx_result result)
+add_finish (struct iv_planner *planner, GArray *records, const struct iv_task *task, ivx_result result)
 {
   ivx_record record = { .kind = IVX_FINISH };
+  iv_planner_task_view (planner, task)->ending = TRUE;
   record.ivx_record_u.finish = (ivx_finish){ task->id, task->attempt, result };
   iv_records_add (records, &record);
 }
 
 static void
-add_requeue (GArray *records, const struct iv_task *task, guint32 progress_ms, gboolean evicted,
+add_requeue (struct iv_planner *planner, GArray *records, const struct iv_task *task, guint32 progress_ms, gboolean evicted,
              gboolean failed)
 {
   ivx_record record = { .kind = IVX_REQUEUE };
+  iv_planner_task_view (planner, task)->ending = TRUE;
   record.ivx_record_u.requeue
       = (ivx_requeue){ task->id, task->attempt, progress_ms, evicted, failed };
   iv_records_add (records, &record);
@@ -151,21 +153,21 @@
 {
   enum iv_verdict verdict = iv_health_failed (planner->health, task->worker, job->gen, now_ms);
   if (verdict == IV_VERDICT_BAD_JOB || job->item.at_most_once)
-    add_finish (records, task, IVX_FAILED);
+    add_finish (planner, records, task, IVX_FAILED);
   else
-    add_requeue (records, task, 0, FALSE, verdict == IV_VERDICT_RETRY);
+    add_requeue (planner, records, task, 0, FALSE, verdict == IV_VERDICT_RETRY);
 }
 
 static void
-plan_stopped (const struct iv_task *task, const struct iv_job *job, guint32 progress_ms,
+plan_stopped (struct iv_planner *planner, const struct iv_task *task, const struct iv_job *job, guint32 progress_ms,
               gboolean evicted, GArray *records)
 {
   if (job->cancelled)
-    add_finish (records, task, IVX_CANCELLED);
+    add_finish (planner, records, task, IVX_CANCELLED);
   else if (job->item.at_most_once && !evicted)
-    add_finish (records, task, IVX_UNKNOWN);
+    add_finish (planner, records, task, IVX_UNKNOWN);
   else
-    add_requeue (records, task, progress_ms, evicted, FALSE);
+    add_requeue (planner, records, task, progress_ms, evicted, FALSE);
 }
 
 static void
@@ -176,42 +178,44 @@
     {
     case IV_RUN_DONE:
       iv_health_succeeded (planner->health, task->worker, job->gen);
-      add_finish (records, task, IVX_DONE);
+      add_finish (planner, records, task, IVX_DONE);
       break;
     case IV_RUN_FAILED:
       plan_failed (planner, task, job, now_ms, records);
       break;
     case IV_RUN_STOPPED:
-      plan_stopped (task, job, report->progress_ms, TRUE, records);
+      plan_stopped (planner, task, job, report->progress_ms, TRUE, records);
       break;
     case IV_RUN_LAPSED:
-      plan_stopped (task, job, report->progress_ms, FALSE, records);
+      plan_stopped (planner, task, job, report->progress_ms, FALSE, records);
       break;
     case IV_RUN_REFUSED:
-      add_requeue (records, task, task->progress_ms, FALSE, FALSE);
+      add_requeue (planner, records, task, task->progress_ms, FALSE, FALSE);
       break;
     case IV_RUN_RUNNING:
       break;
     }
 }
 
-/* The worker answers but does not know the task: it never started, or it was lost with a boot. */
+/* The worker answers but does not know the task, so it does not run: a start that is still on its way
+   carries an earlier term or boot and is refused, or is one of this owner's and will be reported. */
 static void
 plan_unreported (struct iv_planner *planner, const struct iv_task *task, const struct iv_job *job,
                  const struct iv_view *view, GArray *records)
 {
   const struct iv_task_view *task_view = iv_planner_task_view (planner, task);
   gboolean bound_by_me = task->bound_at > planner->cell->claim_offset;
-  gboolean never_started = bound_by_me && !task_view->start_sent;
   gboolean lost_with_boot = task_view->start_sent && task_view->start_boot != view->boot;
-  if (job->cancelled && (never_started || lost_with_boot))
-    add_finish (records, task, IVX_CANCELLED);
-  else if (job->item.at_most_once && (lost_with_boot || !bound_by_me))
-    add_finish (records, task, IVX_UNKNOWN);
-  else if (lost_with_boot)
-    add_requeue (records, task, task->progress_ms, FALSE, FALSE);
-  else if (never_started && task_view->evict)
-    add_requeue (records, task, task->progress_ms, FALSE, FALSE);
+  gboolean may_have_run = lost_with_boot || !bound_by_me;
+  gboolean unwanted = job->cancelled || task_view->evict;
+  if (task_view->start_sent && !lost_with_boot)
+    return;
+  if (job->cancelled)
+    add_finish (planner, records, task, may_have_run && job->item.at_most_once ? IVX_UNKNOWN : IVX_CANCELLED);
+  else if (may_have_run && job->item.at_most_once)
+    add_finish (planner, records, task, IVX_UNKNOWN);
+  else if (may_have_run || unwanted)
+    add_requeue (planner, records, task, task->progress_ms, FALSE, FALSE);
 }
 
 void
@@ -231,6 +235,7 @@
       job = iv_cell_job (planner->cell, task->job);
       view = iv_planner_view (planner, task->worker);
       report = iv_view_report (view, task);
+      iv_planner_task_view (planner, task)->ending = FALSE;
       if (iv_planner_reachable (planner, view, now_ms))
         {
           if (report)
@@ -239,7 +244,7 @@
             plan_unreported (planner, task, job, view, records);
         }
       else if (now_ms > lapse_deadline (planner, view, &job->item))
-        plan_stopped (task, job, report ? report->progress_ms : task->progress_ms, FALSE, records);
+        plan_stopped (planner, task, job, report ? report->progress_ms : task->progress_ms, FALSE, records);
     }
 }
 
@@ -253,7 +258,7 @@
   gint64 clock = (gint64)view->clock_ms + (now_ms - view->clock_at_ms);
   gboolean bound_by_me = task->bound_at > planner->cell->claim_offset;
   struct iv_sync_task row = { .gen = task->gen, .index = task->index, .attempt = task->attempt };
-  if (now_ms - planner->cell_evidence_ms > horizon_of (planner, &job->item))
+  if (task_view->ending || now_ms - planner->cell_evidence_ms > horizon_of (planner, &job->item))
     return;
   row.order = IV_ORDER_RUN;
   if (job->cancelled)
@@ -261,7 +266,7 @@
   else if (task_view->evict)
     row.order = job->item.type == IVX_SERVICE ? IV_ORDER_STOP : IV_ORDER_EVICT;
   if (row.order == IV_ORDER_RUN && report == NULL && iv_planner_may_start (planner, now_ms)
-      && (bound_by_me || !job->item.at_most_once)
+      && bound_by_me
       && (!task_view->start_sent || task_view->start_boot == view->boot))
     {
       row.start_until = (guint64)(clock + planner->options.start_window_ms);
@@ -430,6 +435,13 @@
     }
   view = iv_planner_view (planner, worker);
   view->sync_deadline_ms = 0;
+  /* Another boot refused the sync and does not know the term yet: it is asked anew. */
+  if (view->boot != 0 && reply->boot != view->boot && sent_ms > view->last_reply_ms)
+    {
+      view->boot = 0;
+      view->heard = FALSE;
+      view->dirty = TRUE;
+    }
   /* A reply to a sync of an earlier term, or one that was overtaken, says nothing about now. */
   if (sent_ms >= planner->owned_since_ms && reply->term == planner->cell->term
       && (reply->boot != view->boot || reply->clock_ms >= view->clock_ms))
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -88,6 +88,7 @@
          .max = 2000),
   FIELD (iv_scheduling_settings, snapshot_every, .kind = IV_FIELD_INT, .fallback = 2000, .min = 10,
          .max = 1000000),
+  KEYED ("snapshot_interval", iv_scheduling_settings, snapshot_ms, .kind = IV_FIELD_DURATION, .fallback = 300000, .min = 1000, .max = 24 * HOUR_MS),
   FIELD (iv_scheduling_settings, throttle_above, .kind = IV_FIELD_INT, .fallback = 25, .min = 1,
          .max = 1000),
   FIELD (iv_scheduling_settings, evict_above, .kind = IV_FIELD_INT, .fallback = 60, .min = 1,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -66,6 +66,7 @@
   gint64 clock_rate_permille;
   gint64 starts_per_step;
   gint64 snapshot_every;
+  gint64 snapshot_ms;
   gint64 throttle_above; /**< percent */
   gint64 evict_above;    /**< percent */
   struct iv_weight_settings weights;
--- a/state/cell.c
+++ b/state/cell.c
@@ -347,12 +347,18 @@
   return TRUE;
 }
 
+/* A cancellation may have been folded since the owner decided, also earlier in the same batch. */
 static gboolean
 apply_requeue (struct iv_cell *cell, const ivx_requeue *requeue)
 {
   struct iv_task *task = iv_cell_task (cell, requeue->task);
   if (task == NULL || task->state != IV_TASK_BOUND || task->attempt != requeue->attempt)
     return FALSE;
+  if (iv_cell_job (cell, task->job)->cancelled)
+    {
+      end_task (cell, task, IVX_CANCELLED);
+      return TRUE;
+    }
   release_worker (cell, task);
   task->state = IV_TASK_QUEUED;
   task->progress_ms = MAX (task->progress_ms, requeue->progress_ms);
--- a/state/config.c
+++ b/state/config.c
@@ -258,6 +258,12 @@
   return &g_array_index (item->progress, ivx_progress, item->progress->len - 1);
 }
 
+guint64
+iv_gen_offset (guint64 gen)
+{
+  return gen >> GEN_POSITION_BITS;
+}
+
 guint32
 iv_item_ended_tasks (const struct iv_item *item, guint32 *unsuccessful)
 {
--- a/state/config.h
+++ b/state/config.h
@@ -62,6 +62,9 @@
 /** Tasks of @a item that have ended, and of these the ones that did not succeed. */
 guint32 iv_item_ended_tasks (const struct iv_item *item, guint32 *unsuccessful);
 
+/** Offset of the batch that set the definition @a gen. */
+guint64 iv_gen_offset (guint64 gen);
+
 /** Encode the state as a snapshot. Free with g_byte_array_free(). */
 GByteArray *iv_config_save (const struct iv_config *config);
 
