--- a/daemon/config_task.c
+++ b/daemon/config_task.c
@@ -125,7 +125,7 @@
   const struct iv_scheduling_settings *settings = &task->app->settings->scheduling;
   gint64 now = iv_app_now (task->app);
   gboolean due = now >= task->snapshot_due_ms
-                 || task->config->next >= task->snapshot_at + (guint64) settings->snapshot_every;
+                 || task->config->next >= task->snapshot_at + (guint64)settings->snapshot_every;
   if (task->snapshot_pending || !due || task->config->next == 0
       || !iv_domain_task_owns (task->app, g_ptr_array_index (task->app->domains, 0)))
     return;
@@ -136,8 +136,9 @@
   task->snapshot_at = task->config->next;
   task->snapshot_pending = TRUE;
   for (guint i = 0; i < chunks->len; i++)
-    iv_appender_add (task->appender, &g_array_index (chunks, ivx_record, i), FALSE, now + SNAPSHOT_TIMEOUT_MS,
-                     i + 1 == chunks->len ? on_snapshot_appended : NULL, task);
+    iv_appender_add (task->appender, &g_array_index (chunks, ivx_record, i), FALSE,
+                     now + SNAPSHOT_TIMEOUT_MS, i + 1 == chunks->len ? on_snapshot_appended : NULL,
+                     task);
   g_array_set_clear_func (chunks, NULL);
   g_array_free (chunks, TRUE);
   g_byte_array_free (bytes, TRUE);
--- a/sched/health.c
+++ b/sched/health.c
@@ -139,6 +139,13 @@
   g_hash_table_remove (health->jobs, &id);
 }
 
+GHashTable *
+iv_health_places (const struct iv_health *health, guint64 gen)
+{
+  gint64 id = (gint64)gen;
+  return g_hash_table_lookup (health->jobs, &id);
+}
+
 gboolean
 iv_health_usable (const struct iv_health *health, guint32 worker, gint64 now_ms)
 {
--- a/sched/health.h
+++ b/sched/health.h
@@ -34,6 +34,9 @@
 /** A task of the job @a gen ended well on @a worker. */
 void iv_health_succeeded (struct iv_health *health, guint32 worker, guint64 gen);
 
+/** Workers where the job @a gen has failed, as a set of `gint64`; NULL when there are none. */
+GHashTable *iv_health_places (const struct iv_health *health, guint64 gen);
+
 /** Whether @a worker may get new tasks. After its time aside it may get one to try. */
 gboolean iv_health_usable (const struct iv_health *health, guint32 worker, gint64 now_ms);
 
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -4,6 +4,7 @@
 
 #define RESIDENTS_MAX 64
 #define SCAN_MAX 64 /* workers looked at for one task */
+#define AVOID_COST 1e6
 
 /* One workload on a worker. */
 struct resident
@@ -241,8 +242,16 @@
   return first;
 }
 
+static gboolean
+is_avoided (GHashTable *avoid, const struct host *host)
+{
+  gint64 id = host->id;
+  return avoid != NULL && g_hash_table_contains (avoid, &id);
+}
+
 static struct host *
-least_cost (struct iv_placement *pass, guint32 workload, const ivx_item *item, guint32 seed)
+least_cost (struct iv_placement *pass, guint32 workload, const ivx_item *item, guint32 seed,
+            GHashTable *avoid)
 {
   struct host *best = NULL;
   double best_cost = 0;
@@ -255,6 +264,8 @@
         continue;
       scanned++;
       cost = cost_of (pass, host, workload, item);
+      if (is_avoided (avoid, host))
+        cost += AVOID_COST;
       if (best == NULL || cost < best_cost)
         {
           best = host;
@@ -265,12 +276,13 @@
 }
 
 guint32
-iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed)
+iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed,
+                     GHashTable *avoid)
 {
   guint32 workload = iv_interference_workload (pass->model, item->name);
   struct host *host = pass->strategy == IV_STRATEGY_FIRST_FIT
                           ? first_fit (pass, item)
-                          : least_cost (pass, workload, item, seed);
+                          : least_cost (pass, workload, item, seed, avoid);
   if (host == NULL)
     return IV_NO_WORKER;
   take (pass, host, workload, item);
--- a/sched/placement.h
+++ b/sched/placement.h
@@ -42,8 +42,10 @@
 void iv_placement_end (struct iv_placement *pass);
 
 /** Choose a worker for one task of @a item, starting the scan at a place that @a seed gives.
+ * Workers in @a avoid (a set of `gint64` ids, may be NULL) are taken only when no other has room.
  *  Returns its id and takes its space, or IV_NO_WORKER. */
-guint32 iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed);
+guint32 iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed,
+                             GHashTable *avoid);
 
 /** Give back what the last choice of @a item on @a worker took. */
 void iv_placement_undo (struct iv_placement *pass, const ivx_item *item, guint32 worker);
--- a/sched/planner.h
+++ b/sched/planner.h
@@ -39,8 +39,8 @@
   gint64 cooldown_ms;     /**< a task that was throttled or evicted is left alone for this long */
   gint64 clock_rate_permille; /**< largest difference in clock rate between two hosts */
   guint starts_per_step;
-  guint snapshot_every; /**< batches between two snapshots, at most */
-  gint64 snapshot_ms; /**< time between two snapshots, at most; well below the log's retention */
+  guint snapshot_every;  /**< batches between two snapshots, at most */
+  gint64 snapshot_ms;    /**< time between two snapshots, at most; well below the log's retention */
   guint rank;            /**< claims are delayed by this many halves of takeover_ms */
   double throttle_above; /**< slowdown of a service beyond which a neighbour is throttled */
   double evict_above;    /**< slowdown beyond which a throttled neighbour is evicted */
--- a/sched/planner_admit.c
+++ b/sched/planner_admit.c
@@ -47,8 +47,8 @@
     }
 }
 
-/* A definition is over when it ended, was replaced, or is no longer remembered; not when this host has
-   yet to read it, as it may for a task that came from another failure domain. */
+/* A definition is over when it ended, was replaced, or is no longer remembered; not when this host
+   has yet to read it, as it may for a task that came from another failure domain. */
 static gboolean
 job_is_over (const struct iv_planner *planner, const struct iv_job *job)
 {
--- a/sched/planner_guard.c
+++ b/sched/planner_guard.c
@@ -92,7 +92,8 @@
   guint32 worker;
   if (!quota_allows (pass, item))
     return FALSE;
-  worker = iv_placement_choose (pass->placement, item, task->id * 2654435761u);
+  worker = iv_placement_choose (pass->placement, item, task->id * 2654435761u,
+                                iv_health_places (pass->planner->health, task->gen));
   if (worker == IV_NO_WORKER)
     return FALSE;
   charge_team (pass, item, 1);
@@ -114,7 +115,8 @@
       if (task->job != job->id)
         continue;
       worker = quota_allows (pass, &job->item)
-                   ? iv_placement_choose (pass->placement, &job->item, task->id * 2654435761u)
+                   ? iv_placement_choose (pass->placement, &job->item, task->id * 2654435761u,
+                                          iv_health_places (pass->planner->health, job->gen))
                    : IV_NO_WORKER;
       whole = worker != IV_NO_WORKER;
       if (!whole)
--- a/sched/planner_workers.c
+++ b/sched/planner_workers.c
@@ -4,6 +4,7 @@
 
 #define MISSED_SYNCS_UNUSABLE 3
 #define REPORTS_MAX 4096
+#define FAILURES_MAX 5 /* of one task, on workers that are not to blame */
 
 static const struct iv_host_entry *
 entry_named (const struct iv_planner *planner, const char *name)
@@ -128,7 +129,8 @@
 }
 
 static void
-add_finish (struct iv_planner *planner, GArray *records, const struct iv_task *task, ivx_result result)
+add_finish (struct iv_planner *planner, GArray *records, const struct iv_task *task,
+            ivx_result result)
 {
   ivx_record record = { .kind = IVX_FINISH };
   iv_planner_task_view (planner, task)->ending = TRUE;
@@ -137,8 +139,8 @@
 }
 
 static void
-add_requeue (struct iv_planner *planner, GArray *records, const struct iv_task *task, guint32 progress_ms, gboolean evicted,
-             gboolean failed)
+add_requeue (struct iv_planner *planner, GArray *records, const struct iv_task *task,
+             guint32 progress_ms, gboolean evicted, gboolean failed)
 {
   ivx_record record = { .kind = IVX_REQUEUE };
   iv_planner_task_view (planner, task)->ending = TRUE;
@@ -152,15 +154,15 @@
              gint64 now_ms, GArray *records)
 {
   enum iv_verdict verdict = iv_health_failed (planner->health, task->worker, job->gen, now_ms);
-  if (verdict == IV_VERDICT_BAD_JOB || job->item.at_most_once)
+  if (verdict == IV_VERDICT_BAD_JOB || job->item.at_most_once || task->failures >= FAILURES_MAX)
     add_finish (planner, records, task, IVX_FAILED);
   else
     add_requeue (planner, records, task, 0, FALSE, verdict == IV_VERDICT_RETRY);
 }
 
 static void
-plan_stopped (struct iv_planner *planner, const struct iv_task *task, const struct iv_job *job, guint32 progress_ms,
-              gboolean evicted, GArray *records)
+plan_stopped (struct iv_planner *planner, const struct iv_task *task, const struct iv_job *job,
+              guint32 progress_ms, gboolean evicted, GArray *records)
 {
   if (job->cancelled)
     add_finish (planner, records, task, IVX_CANCELLED);
@@ -197,8 +199,9 @@
     }
 }
 
-/* The worker answers but does not know the task, so it does not run: a start that is still on its way
-   carries an earlier term or boot and is refused, or is one of this owner's and will be reported. */
+/* The worker answers but does not know the task, so it does not run: a start that is still on its
+   way carries an earlier term or boot and is refused, or is one of this owner's and will be
+   reported. */
 static void
 plan_unreported (struct iv_planner *planner, const struct iv_task *task, const struct iv_job *job,
                  const struct iv_view *view, GArray *records)
@@ -211,7 +214,8 @@
   if (task_view->start_sent && !lost_with_boot)
     return;
   if (job->cancelled)
-    add_finish (planner, records, task, may_have_run && job->item.at_most_once ? IVX_UNKNOWN : IVX_CANCELLED);
+    add_finish (planner, records, task,
+                may_have_run && job->item.at_most_once ? IVX_UNKNOWN : IVX_CANCELLED);
   else if (may_have_run && job->item.at_most_once)
     add_finish (planner, records, task, IVX_UNKNOWN);
   else if (may_have_run || unwanted)
@@ -244,7 +248,8 @@
             plan_unreported (planner, task, job, view, records);
         }
       else if (now_ms > lapse_deadline (planner, view, &job->item))
-        plan_stopped (planner, task, job, report ? report->progress_ms : task->progress_ms, FALSE, records);
+        plan_stopped (planner, task, job, report ? report->progress_ms : task->progress_ms, FALSE,
+                      records);
     }
 }
 
@@ -260,8 +265,10 @@
   struct iv_sync_task row = { .gen = task->gen, .index = task->index, .attempt = task->attempt };
   if (task_view->ending || now_ms - planner->cell_evidence_ms > horizon_of (planner, &job->item))
     return;
-  /* An order about an attempt that the worker may have lost would be answered as if it never ran. */
-  if (report == NULL && (!bound_by_me || (task_view->start_sent && task_view->start_boot != view->boot)))
+  /* An order about an attempt that the worker may have lost would be answered as if it never ran.
+   */
+  if (report == NULL
+      && (!bound_by_me || (task_view->start_sent && task_view->start_boot != view->boot)))
     return;
   row.order = IV_ORDER_RUN;
   if (job->cancelled)
@@ -270,7 +277,7 @@
     row.order = job->item.type == IVX_SERVICE ? IV_ORDER_STOP : IV_ORDER_EVICT;
   if (row.order == IV_ORDER_RUN && report == NULL && iv_planner_may_start (planner, now_ms))
     {
-      row.start_until = (guint64) (clock + planner->options.start_window_ms);
+      row.start_until = (guint64)(clock + planner->options.start_window_ms);
       task_view->start_sent = TRUE;
       task_view->start_boot = view->boot;
     }
@@ -348,8 +355,10 @@
   sync->term = planner->cell->term;
   sync->boot = view->boot;
   sync->usage_ack_ms = worker->ledger.until_ms;
-  /* Before the first reply the worker's clock is not known, so nothing can be ordered. */
-  if (view->boot == 0)
+  /* Before the first reply the worker's clock is not known. A worker that has stopped answering is
+     only probed: leases given to it without an answer would put off the time when they are known to
+     be over. */
+  if (view->boot == 0 || !iv_planner_reachable (planner, view, now_ms))
     return sync;
   for (guint i = 0; tasks && i < tasks->len; i++)
     add_sync_task (planner, sync, view, g_ptr_array_index (tasks, i), now_ms);
--- a/sched/tests/oracle.h
+++ b/sched/tests/oracle.h
@@ -17,8 +17,8 @@
   GHashTable *runs;     /**< "gen/index" of at-most-once tasks to their last run */
   guint starts;
   guint done;
-  guint late_starts;    /**< in a domain that was out for longer than the bound */
-  char *violation;      /**< first one found, or NULL */
+  guint late_starts; /**< in a domain that was out for longer than the bound */
+  char *violation;   /**< first one found, or NULL */
 };
 
 /** Attach an oracle to every worker of @a world. */
@@ -34,7 +34,6 @@
 /** Whether hosts that have read the same part of a stream have the same state. */
 gboolean oracle_states_agree (struct oracle *oracle);
 
-
 /** Print every state, for whoever looks into a failure. */
 void oracle_explain (const struct oracle *oracle, FILE *out);
 
--- a/state/writers.h
+++ b/state/writers.h
@@ -7,8 +7,9 @@
 
 #include "batch.h"
 
-#define IV_WRITERS_MAX 1024 /**< writers remembered; the one that wrote longest ago is forgotten   \
-                             */
+#define IV_WRITERS_MAX                                                                             \
+  1024 /**< writers remembered; the one that wrote longest ago is forgotten                        \
+        */
 
 /** The table; part of each fold's state. */
 struct iv_writers
--- a/tests/fuzz_main.c
+++ b/tests/fuzz_main.c
@@ -18,7 +18,7 @@
 next (void)
 {
   state = state * 6364136223846793005u + 1442695040888963407u;
-  return (uint32_t) (state >> 33);
+  return (uint32_t)(state >> 33);
 }
 
 int
@@ -30,15 +30,15 @@
   for (long run = 0; run < runs; run++)
     {
       size_t size;
-      state = seed * 1000003u + (uint64_t) run;
+      state = seed * 1000003u + (uint64_t)run;
       next ();
       size = next () % (INPUT_MAX + 1);
       for (size_t i = 0; i < size; i++)
-        input[i] = (uint8_t) next ();
+        input[i] = (uint8_t)next ();
       if (getenv ("IV_FUZZ_TRACE"))
-        fprintf (stderr, "run %ld of seed %llu\n", run, (unsigned long long) seed);
+        fprintf (stderr, "run %ld of seed %llu\n", run, (unsigned long long)seed);
       LLVMFuzzerTestOneInput (input, size);
     }
-  printf ("%ld inputs of seed %llu, no failure\n", runs, (unsigned long long) seed);
+  printf ("%ld inputs of seed %llu, no failure\n", runs, (unsigned long long)seed);
   return 0;
 }
