--- a/cli/main.c
+++ b/cli/main.c
@@ -5,6 +5,7 @@
 #include "settings.h"
 
 #include <argp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -303,6 +304,7 @@
   const char *argument = NULL;
   char ip[64];
   guint16 port;
+  signal (SIGPIPE, SIG_IGN);
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&parser, argc, argv, 0, NULL, &arguments);
   if (arguments.server == NULL)
--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -134,7 +134,7 @@
       index=$((index + 1))
     done
   done
-  spawn platform "$BUILD/tests/platform_standin" "${addresses[@]}"
+  spawn platform ${PLATFORM_WRAP:-} "$BUILD/tests/platform_standin" "${addresses[@]}"
   PLATFORM_PID=$SPAWNED
   for i in "${!DOMAINS[@]}"; do
     d=${DOMAINS[$i]}
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -12,6 +12,7 @@
 
 #include <gsl/gsl_statistics_double.h>
 #include <gsl/gsl_sort.h>
+#include <signal.h>
 #include <stdio.h>
 
 struct load
@@ -23,6 +24,7 @@
   double rate;
   gint64 timeout_ms;
   const char *key_prefix;
+  guint resends;
   guint started, ended, active;
   guint ok, not_run, may_have_run, wrong, broken;
   double *latencies_ms;
@@ -35,10 +37,30 @@
 {
   struct load *load;
   guint number;
+  guint tries;
   gint64 started_us;
 };
 
+#define RESEND_WAIT_MS 100
+
 static void start_some (struct load *load);
+static void send_request (struct request *request);
+
+static void
+on_resend (uv_timer_t *timer)
+{
+  send_request (timer->data);
+  uv_close ((uv_handle_t *)timer, (uv_close_cb)free);
+}
+
+static void
+send_again (struct request *request)
+{
+  uv_timer_t *timer = malloc (sizeof *timer);
+  uv_timer_init (request->load->loop, timer);
+  timer->data = request;
+  uv_timer_start (timer, on_resend, RESEND_WAIT_MS, 0);
+}
 
 static gboolean
 is_own_answer (const struct request *request, const struct iv_http_reply *reply)
@@ -57,6 +79,12 @@
   struct request *request = context;
   struct load *load = request->load;
   const char *outcome = iv_http_reply_header (reply, "x-ibisvane-outcome");
+  if ((reply->result != IV_HTTP_WHOLE || reply->status != 200) && request->tries < load->resends)
+    {
+      request->tries++;
+      send_again (request);
+      return;
+    }
   if (reply->result != IV_HTTP_WHOLE)
     load->broken++;
   else if (reply->status == 200 && is_own_answer (request, reply))
@@ -77,29 +105,37 @@
 }
 
 static void
-start_one (struct load *load)
+send_request (struct request *request)
 {
-  struct request *request = g_new0 (struct request, 1);
-  char *path = g_strdup_printf ("%s?n=%u", load->path, load->started);
-  char *key = load->key_prefix ? g_strdup_printf ("%s-%u", load->key_prefix, load->started) : NULL;
+  struct load *load = request->load;
+  char *path = g_strdup_printf ("%s?n=%u", load->path, request->number);
+  char *key
+      = load->key_prefix ? g_strdup_printf ("%s-%u", load->key_prefix, request->number) : NULL;
   char timeout[24];
   struct iv_http_header headers[]
       = { { "x-timeout-ms", timeout }, { "idempotency-key", key }, { NULL, NULL } };
   struct iv_http_call call = { .method = key ? "POST" : "GET", .path = path, .headers = headers };
+  guint address = (request->number + request->tries) % load->address_count;
   if (key == NULL)
     headers[1].name = NULL;
   snprintf (timeout, sizeof timeout, "%" G_GINT64_FORMAT, load->timeout_ms);
-  request->load = load;
-  request->number = load->started;
-  request->started_us = g_get_monotonic_time ();
   call.deadline_ms = (gint64)uv_now (load->loop) + load->timeout_ms + 1000;
-  load->active++;
-  iv_http_call (load->client, load->addresses[load->started++ % load->address_count], &call,
-                on_done, request);
+  iv_http_call (load->client, load->addresses[address], &call, on_done, request);
   g_free (path);
   g_free (key);
 }
 
+static void
+start_one (struct load *load)
+{
+  struct request *request = g_new0 (struct request, 1);
+  request->load = load;
+  request->number = load->started++;
+  request->started_us = g_get_monotonic_time ();
+  load->active++;
+  send_request (request);
+}
+
 static void
 start_some (struct load *load)
 {
@@ -146,8 +182,10 @@
   load.concurrency = (guint)atoi (argv[4]);
   load.rate = argc > 5 ? atof (argv[5]) : 0;
   load.timeout_ms = argc > 6 ? atoi (argv[6]) : 5000;
-  load.key_prefix = argc > 7 ? argv[7] : NULL;
+  load.key_prefix = argc > 7 && strcmp (argv[7], "-") != 0 ? argv[7] : NULL;
+  load.resends = argc > 8 ? (guint)atoi (argv[8]) : 0;
   load.latencies_ms = g_new (double, load.total + 1);
+  signal (SIGPIPE, SIG_IGN);
   load.loop = uv_default_loop ();
   load.client
       = iv_http_client_new (load.loop, iv_deadlines_new (load.loop), 3600000, 64 * 1024 * 1024);
--- a/tests/standins/link.c
+++ b/tests/standins/link.c
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "standin.h"
 
+#include <signal.h>
 #include <stdio.h>
 
 #define CHUNK 65536
@@ -180,6 +181,7 @@
   guint16 port;
   if (argc < 4)
     return 64;
+  signal (SIGPIPE, SIG_IGN);
   loop = uv_default_loop ();
   pairs = g_ptr_array_new ();
   split_address (argv[2], ip, &port);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -13,6 +13,7 @@
 #include "schema.h"
 
 #include <jansson.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -316,6 +317,7 @@
 {
   struct iv_http_limits limits = { BODY_MAX, REQUESTS_MAX, REQUESTS_MAX, 3600000 };
   uv_timer_t tick;
+  signal (SIGPIPE, SIG_IGN);
   loop = uv_default_loop ();
   deadlines = iv_deadlines_new (loop);
   streams = fake_log_new ();
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "standin.h"
 
+#include <signal.h>
 #include <stdio.h>
 
 enum mode
@@ -179,6 +180,7 @@
   guint16 port;
   if (argc < 10)
     return 64;
+  signal (SIGPIPE, SIG_IGN);
   loop = uv_default_loop ();
   deadlines = iv_deadlines_new (loop);
   platform = argv[1];
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -11,6 +11,7 @@
 #include "platform.h"
 #include "standin.h"
 
+#include <signal.h>
 #include <stdio.h>
 
 #define TICK_MS 50
@@ -117,6 +118,7 @@
   guint64 start = wall_ms ();
   if (argc < 9)
     return 64;
+  signal (SIGPIPE, SIG_IGN);
   loop = uv_default_loop ();
   workers = g_ptr_array_new ();
   held = g_ptr_array_new ();
