--- /dev/null
+++ b/daemon/tests/memory_log.h
@@ -0,0 +1,98 @@
+/**
+ * @file memory_log.h
+ * A log edge in memory, whose answers are given by hand, for tests of what stands before it.
+ */
+#ifndef IV_MEMORY_LOG_H
+#define IV_MEMORY_LOG_H
+
+#include "fake_log.h"
+#include "platform.h"
+
+/** The edge's state: at most one append and one read wait for their answers. */
+struct memory_log
+{
+  uv_loop_t loop;
+  uv_idle_t alive; /**< deadlines alone do not keep a loop running */
+  struct iv_deadlines *deadlines;
+  struct fake_stream *stream;
+  GByteArray *append; /**< NULL when none waits */
+  iv_log_append_done append_done;
+  void *append_context;
+  gboolean reading;
+  guint64 from;
+  iv_log_read_done read_done;
+  void *read_context;
+  guint appends;
+};
+
+static inline void
+memory_append (void *context, const char *stream, const guint8 *bytes, gsize len,
+               gint64 deadline_ms, iv_log_append_done done, void *done_context)
+{
+  struct memory_log *log = context;
+  log->append = g_byte_array_append (g_byte_array_new (), bytes, (guint)len);
+  log->append_done = done;
+  log->append_context = done_context;
+  log->appends++;
+}
+
+static inline void
+memory_read (void *context, const char *stream, guint64 from, gint64 wait_ms, gint64 deadline_ms,
+             iv_log_read_done done, void *done_context)
+{
+  struct memory_log *log = context;
+  log->reading = TRUE;
+  log->from = from;
+  log->read_done = done;
+  log->read_context = done_context;
+}
+
+/** Answer the waiting append; @a happens says whether the record is in the log. */
+static inline void
+memory_answer_append (struct memory_log *log, gboolean happens, enum iv_status status)
+{
+  GByteArray *bytes = log->append;
+  guint64 offset = 0;
+  log->append = NULL;
+  if (happens)
+    offset = fake_stream_append (log->stream, bytes->data, bytes->len, 0);
+  g_byte_array_free (bytes, TRUE);
+  log->append_done (log->append_context, status, offset);
+}
+
+/** Answer the waiting read with what is retained. */
+static inline void
+memory_answer_read (struct memory_log *log, enum iv_status status)
+{
+  struct iv_log_entry entries[64];
+  struct iv_log_read read
+      = { status, log->stream->first, fake_stream_end (log->stream), entries, 0 };
+  for (guint64 offset = MAX (log->from, read.first); offset < read.end && read.count < 64; offset++)
+    {
+      struct iv_log_entry *entry = &entries[read.count++];
+      entry->offset = offset;
+      entry->bytes = g_bytes_get_data (fake_stream_read (log->stream, offset), &entry->len);
+    }
+  log->reading = FALSE;
+  log->read_done (log->read_context, &read);
+}
+
+static inline void
+memory_idle (uv_idle_t *idle)
+{
+}
+
+/** Prepare @a log with its loop; returns the edge to it. */
+static inline struct iv_log_edge
+memory_log_init (struct memory_log *log)
+{
+  memset (log, 0, sizeof *log);
+  uv_loop_init (&log->loop);
+  uv_idle_init (&log->loop, &log->alive);
+  uv_idle_start (&log->alive, memory_idle);
+  log->deadlines = iv_deadlines_new (&log->loop);
+  log->stream = fake_log_stream (fake_log_new (), "s");
+  return (struct iv_log_edge){ log, memory_append, memory_read };
+}
+
+#endif
