Mend a use after free in the peers' client

Cause: on_record() read the call's result type after end_call() had freed the call; the sanitizer build of test_call_and_refusals reported it. It could have ended a daemon on any answer of a peer. Change: the type is kept beside the call. Followers and appenders can be freed, so that their tests are leak-free. The fault matrix over processes (thirteen faults) is a script of its own.

--- a/daemon/appender.c
+++ b/daemon/appender.c
@@ -200,6 +200,18 @@
   return appender;
 }
 
+void
+iv_appender_free (struct iv_appender *appender)
+{
+  iv_deadline_unset (appender->deadlines, &appender->again);
+  g_queue_free_full (appender->waiting, free_entry);
+  g_ptr_array_free (appender->group, TRUE);
+  if (appender->bytes)
+    g_byte_array_free (appender->bytes, TRUE);
+  g_free (appender->stream);
+  g_free (appender);
+}
+
 void
 iv_appender_add (struct iv_appender *appender, const ivx_record *record, gboolean alone,
                  gint64 deadline_ms, iv_appended_fn done, void *context)
--- a/daemon/appender.h
+++ b/daemon/appender.h
@@ -22,6 +22,9 @@
                                      const char *identity, guint64 incarnation, gint64 every_ms,
                                      gint64 timeout_ms, gboolean trust_answer);
 
+/** Free the appender with what waits in it. An append under way must have been answered. */
+void iv_appender_free (struct iv_appender *appender);
+
 /** Append @a record (moved), in a batch of its own when @a alone. @a done may be NULL. */
 void iv_appender_add (struct iv_appender *appender, const ivx_record *record, gboolean alone,
                       gint64 deadline_ms, iv_appended_fn done, void *context);
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -182,6 +182,16 @@
   return follower;
 }
 
+void
+iv_follower_free (struct iv_follower *follower)
+{
+  iv_deadline_unset (follower->deadlines, &follower->again);
+  g_queue_free_full (follower->held, free_held);
+  iv_chunks_free (follower->chunks);
+  g_free (follower->stream);
+  g_free (follower);
+}
+
 void
 iv_follower_relayed (struct iv_follower *follower, guint64 offset, const guint8 *bytes, gsize len)
 {
--- a/daemon/follower.h
+++ b/daemon/follower.h
@@ -32,6 +32,9 @@
                                      gint64 poll_ms, gint64 timeout_ms, gboolean whole_from_any,
                                      const struct iv_follower_events *events);
 
+/** Free the follower. A read under way must have been answered. */
+void iv_follower_free (struct iv_follower *follower);
+
 /** Take a batch that a peer relayed. Ignored unless it is the next one of a whole state. */
 void iv_follower_relayed (struct iv_follower *follower, guint64 offset, const guint8 *bytes,
                           gsize len);
--- a/daemon/tests/appender_test.c
+++ b/daemon/tests/appender_test.c
@@ -135,7 +135,18 @@
   assert_string_equal (f->fates->str, "timeout@0 ");
 }
 
-#define TEST(name) cmocka_unit_test_setup (name, setup)
+static int
+teardown (void **state)
+{
+  struct fixture *f = *state;
+  iv_appender_free (f->appender);
+  memory_log_clear (&f->log);
+  g_string_free (f->fates, TRUE);
+  g_free (f);
+  return 0;
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
 
 int
 main (void)
--- a/daemon/tests/follower_test.c
+++ b/daemon/tests/follower_test.c
@@ -171,7 +171,18 @@
   g_byte_array_free (bytes, TRUE);
 }
 
-#define TEST(name) cmocka_unit_test_setup (name, setup)
+static int
+teardown (void **state)
+{
+  struct fixture *f = *state;
+  iv_follower_free (f->follower);
+  memory_log_clear (&f->log);
+  g_string_free (f->seen, TRUE);
+  g_free (f);
+  return 0;
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
 
 int
 main (void)
--- a/daemon/tests/memory_log.h
+++ b/daemon/tests/memory_log.h
@@ -14,6 +14,7 @@
   uv_loop_t loop;
   uv_idle_t alive; /**< deadlines alone do not keep a loop running */
   struct iv_deadlines *deadlines;
+  struct fake_log *log;
   struct fake_stream *stream;
   GByteArray *append; /**< NULL when none waits */
   iv_log_append_done append_done;
@@ -91,8 +92,22 @@
   uv_idle_init (&log->loop, &log->alive);
   uv_idle_start (&log->alive, memory_idle);
   log->deadlines = iv_deadlines_new (&log->loop);
-  log->stream = fake_log_stream (fake_log_new (), "s");
+  log->log = fake_log_new ();
+  log->stream = fake_log_stream (log->log, "s");
   return (struct iv_log_edge){ log, memory_append, memory_read };
 }
 
+/** Free what memory_log_init() made. */
+static inline void
+memory_log_clear (struct memory_log *log)
+{
+  if (log->append)
+    g_byte_array_free (log->append, TRUE);
+  fake_log_free (log->log);
+  iv_deadlines_free (log->deadlines);
+  uv_close ((uv_handle_t *)&log->alive, NULL);
+  uv_run (&log->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&log->loop);
+}
+
 #endif
--- a/rpc/rpc_client.c
+++ b/rpc/rpc_client.c
@@ -119,6 +119,7 @@
   struct channel *channel = context;
   struct rpc_msg message = { 0 };
   struct call *call;
+  iv_xdr_proc result_proc;
   gpointer result;
   XDR xdr;
   gboolean ok;
@@ -129,10 +130,11 @@
   call = take_call (channel->client, xid);
   if (call == NULL)
     return TRUE;
+  result_proc = call->result_proc;
   result = g_malloc0 (call->result_size + 1);
   message.acpted_rply.ar_verf = _null_auth;
   message.acpted_rply.ar_results.where = result;
-  message.acpted_rply.ar_results.proc = (xdrproc_t)call->result_proc;
+  message.acpted_rply.ar_results.proc = (xdrproc_t)result_proc;
   xdrmem_create (&xdr, (char *)bytes, (u_int)len, XDR_DECODE);
   ok = xdr_replymsg (&xdr, &message) && message.rm_reply.rp_stat == MSG_ACCEPTED
        && message.acpted_rply.ar_stat == SUCCESS;
@@ -143,7 +145,7 @@
     end_call (call, IV_OK, result);
   else
     end_call (call, iv_fail (IV_ERR_UNAVAILABLE, "the peer refused the call"), NULL);
-  xdr_free ((xdrproc_t)call->result_proc, result);
+  xdr_free ((xdrproc_t)result_proc, result);
   g_free (result);
   return channel->client != NULL;
 }
--- /dev/null
+++ b/tests/scripts/faults.sh
@@ -0,0 +1,111 @@
+#!/usr/bin/env bash
+# The fault matrix over real processes: each fault while requests with idempotency keys and plain
+# ones are under way, jobs run, and a configuration change is made. Ends with "faults: N ok, N failed".
+set -u
+BUILD=${1:-build}
+BASE=${BASE:-24000}
+DOMAINS=(split zadar rijeka)
+source "$(dirname "$0")/cluster.sh"
+trap cluster_stop EXIT
+OK=0 FAILED=0 RELEASE=0
+
+expect() {
+  local what=$1
+  shift
+  if "$@" >/dev/null 2>&1; then
+    OK=$((OK + 1))
+    echo "ok      $what"
+  else
+    FAILED=$((FAILED + 1))
+    echo "FAILED  $what"
+  fi
+}
+number() { sed -n "s/.*\\b$1=\\([0-9.]*\\).*/\\1/p" <<<"$2"; }
+stats() {
+  local i port
+  for i in "${!DOMAINS[@]}"; do
+    for port in $(seq $((BASE + 700 + 100 * i)) $((BASE + 702 + 100 * i))); do HTTP_TIMEOUT=1 http "http://$IP:$port/stats"; echo; done
+  done
+}
+ran_twice() { stats | tr ',{}' '\n' | grep -o "\"$1-[0-9]*\":[0-9]*" | sort | awk -F: '{n[$1]+=$2} END {for (k in n) if (n[k] > 1) print k}'; }
+overruns() { stats | grep -o '"overruns":[0-9]*' | cut -d: -f2 | paste -sd+ | bc; }
+instance_fault() { http -X POST "http://$IP:$((BASE + 700 + 100 * $1 + $2))/faults?$3" >/dev/null; }
+worker_fault() { http -X POST "http://$IP:$((BASE + 300 + 100 * $1 + $2))/faults?$3" >/dev/null; }
+
+# Faults: NAME_on begins one, NAME_off ends it.
+A=split-1 B=zadar-1
+kill_host_on() { kill -9 "${HOST_PID[$A]}"; }
+kill_host_off() { host_start "$A"; wait_for 10 is_ready "$A"; }
+freeze_host_on() { kill -STOP "${HOST_PID[$A]}"; }
+freeze_host_off() { kill -CONT "${HOST_PID[$A]}"; }
+log_down_on() { for d in "${DOMAINS[@]}"; do platform_fault "$d" log=down; done; }
+log_down_off() { for d in "${DOMAINS[@]}"; do platform_fault "$d" log=up; done; }
+log_lost_on() { for d in "${DOMAINS[@]}"; do platform_fault "$d" log=lost; done; }
+log_lost_off() { log_down_off; }
+log_slow_on() { for d in "${DOMAINS[@]}"; do platform_fault "$d" 'log=slow&ms=300'; done; }
+log_slow_off() { log_down_off; }
+domain_cut_on() { platform_fault split log=down; }
+domain_cut_off() { platform_fault split log=up; }
+silent_upstream_on() { instance_fault 0 0 mode=silent; }
+silent_upstream_off() { instance_fault 0 0 mode=ok; }
+slow_upstream_on() { instance_fault 1 0 'mode=slow&ms=600'; }
+slow_upstream_off() { instance_fault 1 0 mode=ok; }
+refusing_upstream_on() { instance_fault 2 0 mode=refuse; }
+refusing_upstream_off() { instance_fault 2 0 mode=ok; }
+frozen_upstreams_on() { kill -STOP "$UPSTREAMS_PID_2"; }
+frozen_upstreams_off() { kill -CONT "$UPSTREAMS_PID_2"; }
+frozen_worker_on() { worker_fault 0 0 frozen=1; }
+frozen_worker_off() { worker_fault 0 0 frozen=0; }
+failing_worker_on() { worker_fault 0 1 fail=1; }
+failing_worker_off() { worker_fault 0 1 fail=0; }
+domain_out_on() { ctl "$B" domain out rijeka >/dev/null; }
+domain_out_off() { ctl "$B" domain in rijeka >/dev/null; }
+FAULTS="kill_host freeze_host log_down log_lost log_slow domain_cut silent_upstream slow_upstream refusing_upstream frozen_upstreams frozen_worker failing_worker domain_out"
+
+# publish: a release note with one job; retried like an operator would until it is in force.
+publish() {
+  local next=$((RELEASE + 1))
+  printf 'release: %d\nchanges: %d\nauthor: ops\nadded:\n  jobs:\n    - {name: job-%d, team: t, cpu: 1, memory: 1GiB, tasks: 9, run_time: 1s}\n    - {name: once-%d, team: t, cpu: 1, memory: 1GiB, tasks: 3, run_time: 1s, at_most_once: true}\n' \
+    "$next" "$RELEASE" "$next" "$next" >"$WORK/note.yaml"
+  ctl "$B" release publish "$WORK/note.yaml" >/dev/null 2>&1
+  release_is "$B" "$next"
+}
+
+run_fault() {
+  local fault=$1 hosts plain keyed
+  hosts="$(callers_of split-1),$(callers_of zadar-1),$(callers_of rijeka-1)"
+  "$BUILD/tests/caller_load" "$hosts" /s/ticket/read 240 12 80 2000 - >"$WORK/plain.out" &
+  local first=$!
+  "$BUILD/tests/caller_load" "$hosts" /s/ticket/new 160 8 50 2000 "$fault" 2 >"$WORK/keyed.out" &
+  local second=$!
+  sleep 0.7
+  "${fault}_on"
+  sleep 2.5
+  "${fault}_off"
+  wait "$first" "$second"
+  plain=$(cat "$WORK/plain.out") keyed=$(cat "$WORK/keyed.out")
+  echo "        plain $plain"
+  echo "        keyed $keyed"
+  expect "$fault: nobody got another's or a partial answer" test "$(number wrong "$plain")$(number wrong "$keyed")" = 00
+  expect "$fault: no keyed request ran twice" test -z "$(ran_twice "$fault")"
+  expect "$fault: no instance was given more than its slots" test "$(overruns)" = 0
+  expect "$fault: a release note is accepted afterwards" wait_for 12 publish
+  RELEASE=$((RELEASE + 1))
+  local host
+  for host in "${HOSTS[@]}"; do wait_for 7 release_is "$host" "$RELEASE" || echo "not in force on $host"; done >"$WORK/late.out"
+  expect "$fault: it is in force everywhere" test ! -s "$WORK/late.out"
+  expect "$fault: its jobs finish" wait_for 30 job_is "$B" "job-$RELEASE" done
+  expect "$fault: its at-most-once tasks finish" wait_for 30 job_is "$B" "once-$RELEASE" done
+}
+
+LEASE=2s HORIZON=3s cluster_start zlatar ticket 3 3 1 1 1
+printf 'release: 1\nchanges: 0\nauthor: ops\nadded:\n  teams: [{name: t}]\n  services: [{name: ticket, team: t, cpu: 1, memory: 1GiB, instances: 6}]\n' >"$WORK/first.yaml"
+ctl "$B" release publish "$WORK/first.yaml" >/dev/null
+RELEASE=1
+for host in "${HOSTS[@]}"; do wait_for 7 release_is "$host" 1; done
+for fault in ${ONLY:-$FAULTS}; do
+  echo "Fault: $fault"
+  run_fault "$fault"
+done
+echo "faults: $OK ok, $FAILED failed"
+[ "$FAILED" -eq 0 ]
