Place by guard: batch work waits rather than harm a service beyond a limit

Change: a job's family (its name without a number at the end) is what is learnt; a batch task waits, for at most the patience, while the slowdown to expect of a service would pass the guard; a service keeps to six hosts of a domain.

--- a/base/event.c
+++ b/base/event.c
@@ -80,7 +80,7 @@
     if ((unsigned char)*c <= ' ' || *c == '"' || *c == '=' || *c == '\\' || *c == 0x7f)
       plain = FALSE;
   if (plain && strlen (value) < QUOTE_SIZE)
-    return strcpy (out, value);
+    return memcpy (out, value, strlen (value) + 1);
   out[n++] = '"';
   for (const char *c = value; *c && n < QUOTE_SIZE - 4; c++)
     {
--- a/base/tests/span_test.c
+++ b/base/tests/span_test.c
@@ -26,7 +26,7 @@
 {
   static const char *const bad[] = { "",
                                      "00-",
-                                     "01" HEADER,
+                                     "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
                                      "00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01",
                                      "00-00000000000000000000000000000000-b7ad6b7169203331-01",
                                      "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331+01" };
--- a/daemon/domain_task.c
+++ b/daemon/domain_task.c
@@ -307,6 +307,8 @@
   options.snapshot_ms = s->snapshot_ms;
   options.throttle_above = (double)s->throttle_above / 100;
   options.evict_above = (double)s->evict_above / 100;
+  options.patience_ms = s->patience_ms;
+  options.weights.guard = (double)s->weights.guard / 100;
   options.weights.tail = (double)s->weights.tail / 100;
   options.weights.throughput = (double)s->weights.throughput / 100;
   options.weights.packing = (double)s->weights.packing / 100;
--- a/daemon/operator_task.c
+++ b/daemon/operator_task.c
@@ -330,6 +330,13 @@
   g_free (gathering);
 }
 
+static void
+close_part (struct gathering *gathering)
+{
+  if (--gathering->open == 0)
+    answer_gathered (gathering);
+}
+
 static void
 on_part (void *context, int status, const char *body, gsize len)
 {
@@ -341,8 +348,7 @@
   else
     json_array_append_new (gathering->missing, json_string (part->domain));
   g_free (part);
-  if (--gathering->open == 0)
-    answer_gathered (gathering);
+  close_part (gathering);
 }
 
 static void
@@ -353,7 +359,7 @@
   gathering->parts = json_array ();
   gathering->missing = json_array ();
   gathering->head = head;
-  gathering->open = task->app->domains->len;
+  gathering->open = task->app->domains->len + 1;
   for (guint i = 0; i < task->app->domains->len; i++)
     {
       struct part *part = g_new0 (struct part, 1);
@@ -361,6 +367,7 @@
       part->domain = g_ptr_array_index (task->app->domains, i);
       iv_peer_task_query_domain (task->app->peers, part->domain, what, on_part, part);
     }
+  close_part (gathering);
 }
 
 static void
--- a/edge/tests/http_test.c
+++ b/edge/tests/http_test.c
@@ -53,7 +53,8 @@
 static void
 on_raw_allocate (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-  *buffer = uv_buf_init (malloc (suggested), (unsigned)suggested);
+  static char bytes[65536];
+  *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
 static void
@@ -67,7 +68,6 @@
 on_raw_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
   uv_buf_t out = uv_buf_init ((char *)fixture.raw_answer, (unsigned)strlen (fixture.raw_answer));
-  free (buffer->base);
   uv_read_stop (stream);
   if (count > 0)
     uv_write (malloc (sizeof (uv_write_t)), stream, &out, 1, on_raw_written);
--- a/route/tests/router_test.c
+++ b/route/tests/router_test.c
@@ -133,7 +133,7 @@
   for (guint i = 0; i < 3; i++)
     {
       add (router, 600 * i, i, 5000, FALSE);
-      action = iv_router_next (router, 600 * i);
+      assert_string_equal (iv_router_next (router, 600 * i).instance, "near");
       iv_router_ended (router, 600 * i, i, "near", IV_CALL_BROKEN, 1);
     }
   assert_int_equal (near->state, IV_INSTANCE_EJECTED);
--- a/sched/interference.c
+++ b/sched/interference.c
@@ -9,6 +9,7 @@
 #define DRIFT_VARIANCE_PER_SECOND 0.00002
 #define NEIGHBOURS_MAX 64
 #define SHARE_MIN 0.001
+#define NAME_MAX_BYTES 65
 
 struct pair
 {
@@ -52,14 +53,28 @@
   g_free (model);
 }
 
+/* Runs of one job are told apart by a number at the end of the name, "dues-2026-12"; what is learnt
+   from one holds for the next. */
+static gsize
+family_length (const char *name)
+{
+  gsize len = strlen (name), end = len;
+  while (end > 0 && (g_ascii_isdigit (name[end - 1]) || strchr ("-._", name[end - 1]) != NULL))
+    end--;
+  return end > 0 ? end : len;
+}
+
 guint32
 iv_interference_workload (struct iv_interference *model, const char *name)
 {
-  guint32 number = GPOINTER_TO_UINT (g_hash_table_lookup (model->workloads, name));
+  char family[NAME_MAX_BYTES];
+  guint32 number;
+  g_strlcpy (family, name, MIN (sizeof family, family_length (name) + 1));
+  number = GPOINTER_TO_UINT (g_hash_table_lookup (model->workloads, family));
   if (number == 0)
     {
       number = g_hash_table_size (model->workloads) + 1;
-      g_hash_table_insert (model->workloads, g_strdup (name), GUINT_TO_POINTER (number));
+      g_hash_table_insert (model->workloads, g_strdup (family), GUINT_TO_POINTER (number));
     }
   return number;
 }
--- a/sched/interference.h
+++ b/sched/interference.h
@@ -36,7 +36,8 @@
 /** Free the model. */
 void iv_interference_free (struct iv_interference *model);
 
-/** Small number that stands for the workload @a name. */
+/** Small number that stands for the workload @a name, without a number at its end: the runs of a
+ *  recurring job are one workload. */
 guint32 iv_interference_workload (struct iv_interference *model, const char *name);
 
 /** Learn from one measurement: @a victim was slowed by @a slowdown (0 = undisturbed) beside
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -5,6 +5,10 @@
 #define RESIDENTS_MAX 64
 #define SCAN_MAX 64 /* workers looked at for one task */
 #define AVOID_COST 1e6
+#define GUARD_COST 1e3
+#define SERVICE_HOSTS 6  /* hosts that the instances of a service in one domain are spread over */
+#define OPENING_COST 0.5 /* of a host without a service, in parts of an instance too many */
+#define RACK_COST 0.05
 
 /* One workload on a worker. */
 struct resident
@@ -189,12 +193,47 @@
     {
       const struct resident *r = &host->residents[i];
       double weight = r->service ? pass->weights->tail : pass->weights->throughput;
+      /* Instances of one service were sized to stand side by side. */
+      if (r->service && r->workload == workload)
+        continue;
       harm += weight * r->tasks * pair_harm (pass, r->workload, workload, share);
       harm += own_weight * pair_harm (pass, workload, r->workload, r->cpu_milli / total);
     }
   return harm;
 }
 
+/* Slowdown to expect of the service @a victim, with @a milli more of @a workload beside it. */
+static double
+expected_slowdown (const struct iv_placement *pass, const struct host *host, guint32 victim,
+                   guint32 workload, guint32 milli)
+{
+  double total = host->all.cpu_milli;
+  double slowdown = pair_harm (pass, victim, workload, milli / total);
+  for (guint i = 0; i < host->count; i++)
+    if (host->residents[i].workload != victim)
+      slowdown += pair_harm (pass, victim, host->residents[i].workload,
+                             host->residents[i].cpu_milli / total);
+  return slowdown;
+}
+
+static gboolean
+breaks_guard (const struct iv_placement *pass, const struct host *host, guint32 workload,
+              const ivx_item *item)
+{
+  double guard = pass->weights->guard;
+  if (guard <= 0 || pass->strategy != IV_STRATEGY_HARM)
+    return FALSE;
+  if (item->type == IVX_SERVICE)
+    return expected_slowdown (pass, host, workload, workload, 0) > guard;
+  for (guint i = 0; i < host->count; i++)
+    if (host->residents[i].service && host->residents[i].tasks > 0
+        && expected_slowdown (pass, host, host->residents[i].workload, workload,
+                              item->size.cpu_milli)
+               > guard)
+      return TRUE;
+  return FALSE;
+}
+
 static double
 packing_cost (const struct host *host, const ivx_item *item)
 {
@@ -203,11 +242,20 @@
   return left + wasted;
 }
 
+/* A service keeps to few hosts, so that the others are free for noisy work, but not to fewer than
+   it takes to stand the loss of some. */
 static double
-spread_cost (struct iv_placement *pass, struct host *host, guint32 workload)
+spread_cost (struct iv_placement *pass, struct host *host, guint32 workload, const ivx_item *item)
 {
   const struct resident *same = find_resident (host, workload);
-  return (same ? same->tasks : 0) + 0.1 * rack_count (pass, host->rack, workload);
+  guint limit = MAX (1, (item->tasks + SERVICE_HOSTS - 1) / SERVICE_HOSTS);
+  guint there = same ? same->tasks : 0;
+  double cost = there >= limit ? there - limit + 1 : 0;
+  gboolean opens = TRUE;
+  for (guint i = 0; i < host->count; i++)
+    opens &= !host->residents[i].service || host->residents[i].tasks == 0;
+  return cost + (opens ? OPENING_COST : 0)
+         + RACK_COST * rack_count (pass, host->rack, workload) / limit;
 }
 
 static double
@@ -216,7 +264,7 @@
   double cost = mutual_harm (pass, host, workload, item);
   cost += pass->weights->packing * packing_cost (host, item);
   if (item->type == IVX_SERVICE)
-    cost += pass->weights->spread * spread_cost (pass, host, workload);
+    cost += pass->weights->spread * spread_cost (pass, host, workload, item);
   return cost;
 }
 
@@ -251,7 +299,7 @@
 
 static struct host *
 least_cost (struct iv_placement *pass, guint32 workload, const ivx_item *item, guint32 seed,
-            GHashTable *avoid)
+            GHashTable *avoid, gboolean patient)
 {
   struct host *best = NULL;
   double best_cost = 0;
@@ -266,6 +314,12 @@
       cost = cost_of (pass, host, workload, item);
       if (is_avoided (avoid, host))
         cost += AVOID_COST;
+      if (breaks_guard (pass, host, workload, item))
+        {
+          if (patient && item->type == IVX_JOB)
+            continue;
+          cost += GUARD_COST;
+        }
       if (best == NULL || cost < best_cost)
         {
           best = host;
@@ -277,12 +331,12 @@
 
 guint32
 iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed,
-                     GHashTable *avoid)
+                     GHashTable *avoid, gboolean patient)
 {
   guint32 workload = iv_interference_workload (pass->model, item->name);
   struct host *host = pass->strategy == IV_STRATEGY_FIRST_FIT
                           ? first_fit (pass, item)
-                          : least_cost (pass, workload, item, seed, avoid);
+                          : least_cost (pass, workload, item, seed, avoid, patient);
   if (host == NULL)
     return IV_NO_WORKER;
   take (pass, host, workload, item);
--- a/sched/placement.h
+++ b/sched/placement.h
@@ -16,6 +16,8 @@
   double packing;    /**< leaving large workers free */
   double spread;     /**< services on few hosts or racks */
   double caution;    /**< standard deviations added to an estimate of harm */
+  double guard; /**< expected slowdown of a service beyond which no batch task is put beside it; 0:
+                   none */
 };
 
 /** How a placement is chosen; the ones but HARM are baselines. */
@@ -43,9 +45,10 @@
 
 /** Choose a worker for one task of @a item, starting the scan at a place that @a seed gives.
  * Workers in @a avoid (a set of `gint64` ids, may be NULL) are taken only when no other has room.
+ *  A @a patient task waits rather than harm a service beyond the guard.
  *  Returns its id and takes its space, or IV_NO_WORKER. */
 guint32 iv_placement_choose (struct iv_placement *pass, const ivx_item *item, guint32 seed,
-                             GHashTable *avoid);
+                             GHashTable *avoid, gboolean patient);
 
 /** Give back what the last choice of @a item on @a worker took. */
 void iv_placement_undo (struct iv_placement *pass, const ivx_item *item, guint32 worker);
--- a/sched/planner.c
+++ b/sched/planner.c
@@ -62,6 +62,7 @@
     .sync_ms = 1000,
     .sync_timeout_ms = 2000,
     .drain_ms = 10000,
+    .patience_ms = 60000,
     .cooldown_ms = 10000,
     .clock_rate_permille = 10,
     .starts_per_step = 512,
@@ -70,7 +71,8 @@
     .throttle_above = 0.25,
     .evict_above = 0.6,
     .strategy = IV_STRATEGY_HARM,
-    .weights = { .tail = 1, .throughput = 1, .packing = 0.2, .spread = 0.5, .caution = 0.5 },
+    .weights
+    = { .tail = 1, .throughput = 1, .packing = 0.2, .spread = 0.5, .caution = 0.5, .guard = 0.25 },
   };
 }
 
--- a/sched/planner.h
+++ b/sched/planner.h
@@ -36,6 +36,7 @@
   gint64 sync_ms;         /**< a worker is synced this often */
   gint64 sync_timeout_ms; /**< a sync without a reply counts as lost */
   gint64 drain_ms;        /**< in a domain taken out, tasks that end within this may finish */
+  gint64 patience_ms;     /**< a batch task waits this long for a place where it harms no service */
   gint64 cooldown_ms;     /**< a task that was throttled or evicted is left alone for this long */
   gint64 clock_rate_permille; /**< largest difference in clock rate between two hosts */
   guint starts_per_step;
--- a/sched/planner_guard.c
+++ b/sched/planner_guard.c
@@ -77,6 +77,16 @@
   return team_used (pass, item->team) + item->size.cpu_milli <= team->item.quota_milli / domains;
 }
 
+/* A batch task waits for a place where it does no harm, but not for ever. */
+static gboolean
+is_patient (struct bind_pass *pass, const struct iv_task *task, const ivx_item *item)
+{
+  struct iv_task_view *view = iv_planner_task_view (pass->planner, task);
+  if (view->patient_until_ms == 0)
+    view->patient_until_ms = pass->now_ms + pass->planner->options.patience_ms;
+  return !item->urgent && pass->now_ms < view->patient_until_ms;
+}
+
 static void
 add_bind (struct bind_pass *pass, const struct iv_task *task, guint32 worker)
 {
@@ -93,7 +103,8 @@
   if (!quota_allows (pass, item))
     return FALSE;
   worker = iv_placement_choose (pass->placement, item, task->id * 2654435761u,
-                                iv_health_places (pass->planner->health, task->gen));
+                                iv_health_places (pass->planner->health, task->gen),
+                                is_patient (pass, task, item));
   if (worker == IV_NO_WORKER)
     return FALSE;
   charge_team (pass, item, 1);
@@ -116,7 +127,8 @@
         continue;
       worker = quota_allows (pass, &job->item)
                    ? iv_placement_choose (pass->placement, &job->item, task->id * 2654435761u,
-                                          iv_health_places (pass->planner->health, job->gen))
+                                          iv_health_places (pass->planner->health, job->gen),
+                                          is_patient (pass, task, &job->item))
                    : IV_NO_WORKER;
       whole = worker != IV_NO_WORKER;
       if (!whole)
--- a/sched/planner_private.h
+++ b/sched/planner_private.h
@@ -37,6 +37,7 @@
   gint64 settled_until_ms; /**< the guard leaves the task alone until then */
   guint strikes;           /**< fresh measurements in a row above the limit */
   gint64 last_measured_ms;
+  gint64 patient_until_ms; /**< a queued task that may harm a service waits until then */
 };
 
 struct iv_planner
--- a/sched/tests/placement_test.c
+++ b/sched/tests/placement_test.c
@@ -72,11 +72,11 @@
   ivx_item item = job ("j", 3000, 0), large = job ("l", 9000, 0);
   guint counts[4] = { 0 };
   for (guint i = 0; i < 6; i++)
-    counts[iv_placement_choose (pass, &item, i, NULL)]++;
+    counts[iv_placement_choose (pass, &item, i, NULL, TRUE)]++;
   assert_int_equal (counts[1] + counts[2] + counts[3], 6);
-  assert_int_equal (iv_placement_choose (pass, &item, 0, NULL), IV_NO_WORKER);
+  assert_int_equal (iv_placement_choose (pass, &item, 0, NULL, TRUE), IV_NO_WORKER);
   iv_placement_undo (pass, &item, 2);
-  assert_int_equal (iv_placement_choose (pass, &item, 0, NULL), 2);
+  assert_int_equal (iv_placement_choose (pass, &item, 0, NULL, TRUE), 2);
   assert_false (iv_placement_possible (pass, &large.size));
   iv_placement_end (pass);
   iv_interference_free (model);
@@ -93,7 +93,7 @@
   ivx_item item = service (1000);
   guint counts[5] = { 0 };
   for (guint i = 0; i < 4; i++)
-    counts[iv_placement_choose (pass, &item, i, NULL)]++;
+    counts[iv_placement_choose (pass, &item, i, NULL, TRUE)]++;
   for (guint i = 1; i <= 4; i++)
     assert_int_equal (counts[i], 1);
   iv_placement_end (pass);
@@ -115,10 +115,10 @@
   for (gint64 i = 1; i < 50; i++)
     iv_interference_observe (model, victim, &beside, 1, 2, 1, i);
   pass = iv_placement_begin (cell, model, &weights, IV_STRATEGY_HARM, all_usable, NULL, 50);
-  home = iv_placement_choose (pass, &ledger, 0, NULL);
+  home = iv_placement_choose (pass, &ledger, 0, NULL, TRUE);
   for (guint i = 0; i < 4; i++)
-    assert_int_not_equal (iv_placement_choose (pass, &loud, i, NULL), home);
-  assert_int_equal (iv_placement_choose (pass, &loud, 0, NULL), home);
+    assert_int_not_equal (iv_placement_choose (pass, &loud, i, NULL, TRUE), home);
+  assert_int_equal (iv_placement_choose (pass, &loud, 0, NULL, TRUE), home);
   iv_placement_end (pass);
   iv_interference_free (model);
   iv_cell_free (cell);
@@ -135,9 +135,9 @@
   gint64 two = 2;
   ivx_item item = job ("j", 8000, 0);
   g_hash_table_add (avoid, &two);
-  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid), 3);
-  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid), 2);
-  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid), IV_NO_WORKER);
+  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid, TRUE), 3);
+  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid, TRUE), 2);
+  assert_int_equal (iv_placement_choose (pass, &item, 0, avoid, TRUE), IV_NO_WORKER);
   g_hash_table_destroy (avoid);
   iv_placement_end (pass);
   iv_interference_free (model);
@@ -153,9 +153,9 @@
       = iv_placement_begin (cell, model, &weights, IV_STRATEGY_HARM, all_usable, NULL, 0);
   ivx_item plain = job ("p", 4000, 0), heavy = job ("h", 1000, 2);
   for (guint i = 0; i < 4; i++)
-    assert_int_not_equal (iv_placement_choose (pass, &plain, i, NULL), 3);
-  assert_int_equal (iv_placement_choose (pass, &heavy, 0, NULL), 3);
-  assert_int_equal (iv_placement_choose (pass, &heavy, 0, NULL), IV_NO_WORKER);
+    assert_int_not_equal (iv_placement_choose (pass, &plain, i, NULL, TRUE), 3);
+  assert_int_equal (iv_placement_choose (pass, &heavy, 0, NULL, TRUE), 3);
+  assert_int_equal (iv_placement_choose (pass, &heavy, 0, NULL, TRUE), IV_NO_WORKER);
   iv_placement_end (pass);
   iv_interference_free (model);
   iv_cell_free (cell);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -54,6 +54,7 @@
          .max = 10000),
   FIELD (iv_weight_settings, packing, .kind = IV_FIELD_INT, .fallback = 20, .min = 0, .max = 10000),
   FIELD (iv_weight_settings, spread, .kind = IV_FIELD_INT, .fallback = 50, .min = 0, .max = 10000),
+  FIELD (iv_weight_settings, guard, .kind = IV_FIELD_INT, .fallback = 25, .min = 0, .max = 1000),
   FIELD (iv_weight_settings, caution, .kind = IV_FIELD_INT, .fallback = 50, .min = 0, .max = 1000),
   { 0 },
 };
@@ -80,6 +81,8 @@
          .fallback = 2000, .min = 50, .max = 60000),
   KEYED ("drain", iv_scheduling_settings, drain_ms, .kind = IV_FIELD_DURATION, .fallback = 10000,
          .min = 0, .max = HOUR_MS),
+  KEYED ("patience", iv_scheduling_settings, patience_ms, .kind = IV_FIELD_DURATION,
+         .fallback = 60000, .min = 0, .max = HOUR_MS),
   KEYED ("cooldown", iv_scheduling_settings, cooldown_ms, .kind = IV_FIELD_DURATION,
          .fallback = 10000, .min = 0, .max = HOUR_MS),
   FIELD (iv_scheduling_settings, clock_rate_permille, .kind = IV_FIELD_INT, .fallback = 10,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -46,6 +46,7 @@
   gint64 packing;
   gint64 spread;
   gint64 caution;
+  gint64 guard;
 };
 
 struct iv_scheduling_settings
@@ -63,6 +64,7 @@
   gint64 sync_timeout_ms;
   gint64 drain_ms;
   gint64 cooldown_ms;
+  gint64 patience_ms;
   gint64 clock_rate_permille;
   gint64 starts_per_step;
   gint64 snapshot_every;
