--- a/daemon/route_task.c
+++ b/daemon/route_task.c
@@ -244,6 +244,8 @@
     release_request (request);
   else if (verdict == IV_ROUTE_FINAL)
     answer_call (request, reply, outcome);
+  else if (verdict == IV_ROUTE_DOUBT)
+    finish_may_have_run (request, 504, "a call was handed over and not answered");
   g_free (call);
   act (task);
 }
@@ -339,6 +341,8 @@
       else if (action.kind == IV_ACTION_CALL)
         iv_router_ended (task->router, now_of (task), action.request, action.instance,
                          IV_CALL_REFUSED, 0);
+      else if (request && request->http && request->calls == 0 && action.may_have_run)
+        finish_may_have_run (request, 504, "a call was handed over and not answered");
       else if (request && request->http && request->calls == 0)
         finish_not_run (request, 503, iv_refusal_name (action.refusal));
     }
--- a/route/router.c
+++ b/route/router.c
@@ -10,17 +10,19 @@
 #define BACKOFF_LIMIT_MS 500
 #define SERVICE_TIME_START_MS 10.0
 #define SERVICE_TIME_WEIGHT 0.05
-#define SHED_MARGIN 1.0
+#define SERVICE_TIME_RESERVE 3.0 /* of the mean: what most calls end within */
 
 struct request
 {
   struct iv_request_info info;
   char *service;
   gint64 not_before_ms; /* backoff of a retry */
+  double reserve_ms;    /* left of the deadline, or it is not worth a call */
   gint64 hedge_at_ms;   /* 0: no hedge */
   guint calls;          /* made so far */
   guint active;         /* under way */
   gboolean queued;
+  gboolean may_have_run; /* some call was handed over and got no whole answer */
   GList *link;
   char *tried[CALLS_MAX]; /* instance names, not to be asked again */
 };
@@ -250,13 +252,23 @@
                                  request->info.deadline_ms + router->options.linger_ms);
 }
 
+/* Time to keep for the call itself. A call that is cut off at the deadline is lost work, and enough
+   of them leave no slot for those that could be answered; short deadlines get half of what they
+   have. */
+static double
+reserve_ms (const struct iv_router *router, const struct iv_request_info *info, gint64 since_ms)
+{
+  double half = (double)(info->deadline_ms - since_ms) / 2;
+  return MIN (router->service_time_ms * SERVICE_TIME_RESERVE, half);
+}
+
 /* Whether a request that is queued now could still be answered in time. */
 static gboolean
 in_time (const struct iv_router *router, const struct iv_request_info *info, gint64 now_ms,
          guint share)
 {
   double wait_ms = router->service_time_ms * router->queue->length / MAX (1, share);
-  return now_ms + (wait_ms + router->service_time_ms) * SHED_MARGIN <= info->deadline_ms;
+  return (double)now_ms + wait_ms + reserve_ms (router, info, now_ms) <= (double)info->deadline_ms;
 }
 
 /* A full queue makes room for a caller with less than its share by dropping the youngest request
@@ -295,6 +307,7 @@
   request->info = *info;
   request->service = g_strdup (info->service);
   request->info.service = request->service;
+  request->reserve_ms = reserve_ms (router, info, now_ms);
   if (info->idempotent && router->options.hedge_after_ms > 0)
     request->hedge_at_ms = now_ms + router->options.hedge_after_ms;
   return request;
@@ -428,11 +441,12 @@
       struct request *request = l->data;
       struct iv_instance *instance;
       next = l->next;
-      if (now_ms >= request->info.deadline_ms)
+      if ((double)now_ms + request->reserve_ms > (double)request->info.deadline_ms)
         {
           *action = (struct iv_action){ .kind = IV_ACTION_REFUSE,
                                         .request = request->info.id,
-                                        .refusal = IV_REFUSAL_EXPIRED };
+                                        .refusal = IV_REFUSAL_EXPIRED,
+                                        .may_have_run = request->may_have_run };
           remove_request (router, request);
           return TRUE;
         }
@@ -523,12 +537,14 @@
   if (request == NULL)
     return IV_ROUTE_FINAL;
   request->active--;
+  request->may_have_run |= outcome == IV_CALL_BROKEN || outcome == IV_CALL_SILENT;
   if (outcome != IV_CALL_OK && request->active > 0)
     return IV_ROUTE_WAIT;
   if (!may_retry (router, request, now_ms, outcome))
     {
+      gboolean doubt = request->may_have_run && outcome != IV_CALL_OK;
       remove_request (router, request);
-      return IV_ROUTE_FINAL;
+      return doubt ? IV_ROUTE_DOUBT : IV_ROUTE_FINAL;
     }
   router->retries++;
   request->not_before_ms = now_ms + backoff (router, request->calls);
--- a/route/router.h
+++ b/route/router.h
@@ -63,7 +63,7 @@
 {
   IV_ACTION_NONE,
   IV_ACTION_CALL,   /**< hand the request to the instance */
-  IV_ACTION_REFUSE, /**< answer that it was not run */
+  IV_ACTION_REFUSE, /**< answer that it was not run, or may have run when that is set */
   IV_ACTION_PROBE   /**< ask the instance on a new connection whether it lives */
 };
 
@@ -81,6 +81,7 @@
   enum iv_action_kind kind;
   guint64 request;
   enum iv_refusal refusal;
+  gboolean may_have_run; /**< of a refusal: an earlier call was handed over */
   char address[80];
   char instance[80];
   gint64 deadline_ms;
@@ -91,6 +92,7 @@
 enum iv_verdict_kind
 {
   IV_ROUTE_FINAL, /**< answer with this outcome */
+  IV_ROUTE_DOUBT, /**< answer that it may have run: an earlier call was handed over */
   IV_ROUTE_RETRY, /**< it was queued again */
   IV_ROUTE_WAIT   /**< another call of the same request is under way */
 };
