Look hosts and workers up by name

Cause: an idle owner's processor time grew with the square of its workers (22: 1.3 ms a second, 405: 133 ms): each step compared every worker with every host of the list by name. Ruled out: the syncs (their share grows with the tasks alone) and the folding (nothing was folded). Change: both tables are indexed by name.

--- a/sched/planner.c
+++ b/sched/planner.c
@@ -94,6 +94,7 @@
   planner->snapshot_records = g_queue_new ();
   planner->hosts = g_array_new (FALSE, TRUE, sizeof (struct iv_host_entry));
   g_array_set_clear_func (planner->hosts, clear_host);
+  planner->host_places = g_hash_table_new (g_str_hash, g_str_equal);
   planner->views = g_hash_table_new_full (NULL, NULL, NULL, free_view);
   planner->task_views = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   planner->moved = g_hash_table_new (NULL, NULL);
@@ -122,6 +123,7 @@
   drop_snapshot (planner);
   g_queue_free (planner->snapshot_records);
   iv_cell_free (planner->cell);
+  g_hash_table_destroy (planner->host_places);
   g_array_free (planner->hosts, TRUE);
   g_hash_table_destroy (planner->views);
   g_hash_table_destroy (planner->task_views);
@@ -282,6 +284,7 @@
 void
 iv_planner_set_hosts (struct iv_planner *planner, const GArray *hosts)
 {
+  g_hash_table_remove_all (planner->host_places);
   g_array_set_size (planner->hosts, 0);
   for (guint i = 0; i < hosts->len; i++)
     {
@@ -289,6 +292,8 @@
       struct iv_host_entry copy = { .leaving = entry->leaving };
       iv_xdr_copy ((iv_xdr_proc)xdr_ivx_worker, &entry->info, &copy.info);
       g_array_append_val (planner->hosts, copy);
+      g_hash_table_insert (planner->host_places, copy.info.name,
+                           GUINT_TO_POINTER (planner->hosts->len));
     }
 }
 
--- a/sched/planner_private.h
+++ b/sched/planner_private.h
@@ -62,10 +62,11 @@
   guint64 snapshot_at;      /**< offset at which the last snapshot was seen */
   GQueue *snapshot_records; /**< chunks still to append, of ivx_record* */
   const struct iv_config *config;
-  GArray *hosts;          /**< of struct iv_host_entry */
-  GHashTable *views;      /**< worker to struct iv_view */
-  GHashTable *task_views; /**< task to struct iv_task_view */
-  GHashTable *moved;      /**< tasks whose move was appended */
+  GArray *hosts;           /**< of struct iv_host_entry */
+  GHashTable *host_places; /**< name of a host to its place in `hosts`, counted from 1 */
+  GHashTable *views;       /**< worker to struct iv_view */
+  GHashTable *task_views;  /**< task to struct iv_task_view */
+  GHashTable *moved;       /**< tasks whose move was appended */
   struct iv_interference *model;
   struct iv_health *health;
 };
--- a/sched/planner_workers.c
+++ b/sched/planner_workers.c
@@ -9,13 +9,8 @@
 static const struct iv_host_entry *
 entry_named (const struct iv_planner *planner, const char *name)
 {
-  for (guint i = 0; i < planner->hosts->len; i++)
-    {
-      const struct iv_host_entry *entry = &g_array_index (planner->hosts, struct iv_host_entry, i);
-      if (strcmp (entry->info.name, name) == 0)
-        return entry;
-    }
-  return NULL;
+  guint place = GPOINTER_TO_UINT (g_hash_table_lookup (planner->host_places, name));
+  return place ? &g_array_index (planner->hosts, struct iv_host_entry, place - 1) : NULL;
 }
 
 /* A replacement under the same name started at another time or place, and is another host. */
--- a/state/cell.c
+++ b/state/cell.c
@@ -72,6 +72,7 @@
   cell->next_job = cell->next_task = cell->next_worker = 1;
   iv_writers_init (&cell->writers);
   cell->workers = g_hash_table_new_full (NULL, NULL, NULL, free_worker);
+  cell->worker_names = g_hash_table_new (g_str_hash, g_str_equal);
   cell->jobs = g_hash_table_new_full (NULL, NULL, NULL, free_job);
   cell->tasks = g_hash_table_new_full (NULL, NULL, NULL, free_task);
   cell->job_gens = g_hash_table_new (hash_gen, equal_gen);
@@ -88,6 +89,7 @@
 {
   if (cell == NULL)
     return;
+  g_hash_table_destroy (cell->worker_names);
   g_hash_table_destroy (cell->job_gens);
   g_hash_table_destroy (cell->task_keys);
   g_hash_table_destroy (cell->tasks);
@@ -111,13 +113,7 @@
 struct iv_worker *
 iv_cell_worker_named (const struct iv_cell *cell, const char *name)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, cell->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (strcmp (((struct iv_worker *)value)->info.name, name) == 0)
-      return value;
-  return NULL;
+  return g_hash_table_lookup (cell->worker_names, name);
 }
 
 struct iv_task *
@@ -168,6 +164,7 @@
   iv_xdr_copy ((iv_xdr_proc)xdr_ivx_worker, info, &worker->info);
   iv_ledger_init (&worker->ledger, info->size.cpu_milli, info->start_ms);
   g_hash_table_insert (cell->workers, GUINT_TO_POINTER (id), worker);
+  g_hash_table_insert (cell->worker_names, worker->info.name, worker);
   return worker;
 }
 
@@ -300,6 +297,7 @@
       const ivx_usage_row *row = &g_array_index (worker->ledger.rows, ivx_usage_row, i);
       iv_rows_add (cell->retired, row->kind, row->team, row->name, row->units);
     }
+  g_hash_table_remove (cell->worker_names, worker->info.name);
   g_hash_table_remove (cell->workers, GUINT_TO_POINTER (gone->worker));
   return TRUE;
 }
--- a/state/cell.h
+++ b/state/cell.h
@@ -76,12 +76,13 @@
   guint32 evictions;
   struct iv_writers writers;
   guint32 next_worker, next_job, next_task;
-  GHashTable *workers;   /**< id to struct iv_worker */
-  GHashTable *jobs;      /**< id to struct iv_job */
-  GHashTable *tasks;     /**< id to struct iv_task */
-  GHashTable *job_gens;  /**< gen to struct iv_job */
-  GHashTable *task_keys; /**< gen and index to struct iv_task */
-  GQueue *import_order;  /**< keys of remembered imports, oldest first */
+  GHashTable *workers;      /**< id to struct iv_worker */
+  GHashTable *worker_names; /**< name to struct iv_worker */
+  GHashTable *jobs;         /**< id to struct iv_job */
+  GHashTable *tasks;        /**< id to struct iv_task */
+  GHashTable *job_gens;     /**< gen to struct iv_job */
+  GHashTable *task_keys;    /**< gen and index to struct iv_task */
+  GQueue *import_order;     /**< keys of remembered imports, oldest first */
   GHashTable *imports;
   GArray *retired; /**< of ivx_usage_row: host time of workers that are gone */
 };
