--- a/edge/http_server.c
+++ b/edge/http_server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define BACKLOG 512
+#define HEAD_MAX 16384 /* bytes of path and header fields */
 
 struct iv_http_server
 {
@@ -86,11 +87,27 @@
   h2o_send_inline (req, json, strlen (json));
 }
 
+/* h2o bounds a head only while it is incomplete. */
+static gboolean
+head_too_large (const h2o_req_t *req)
+{
+  size_t size = req->path.len;
+  for (size_t i = 0; i < req->headers.size; i++)
+    size += req->headers.entries[i].name->len + req->headers.entries[i].value.len;
+  return size > HEAD_MAX;
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
   struct iv_http_server *server = ((struct entry *)self)->server;
   struct iv_http_request *request;
+  if (head_too_large (req))
+    {
+      send_plain (req, 431, "Request Header Fields Too Large",
+                  "{\"outcome\":\"not_run\",\"reason\":\"head too large\"}\n");
+      return 0;
+    }
   if (server->pending >= server->limits.requests_max)
     {
       send_plain (req, 503, "Service Unavailable",
--- a/sched/planner.c
+++ b/sched/planner.c
@@ -194,6 +194,19 @@
          && !iv_config_domain_out (planner->config, planner->domain);
 }
 
+GPtrArray *
+iv_planner_tasks_in (const struct iv_planner *planner, enum iv_task_state state)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, planner->cell->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct iv_task *)value)->state == state)
+      g_ptr_array_add (list, value);
+  return list;
+}
+
 /* Soft state belongs to a term: another term may have changed anything. */
 static void
 start_term (struct iv_planner *planner, gint64 now_ms)
--- a/sched/planner_private.h
+++ b/sched/planner_private.h
@@ -77,6 +77,9 @@
 /** View of the task's present attempt, made when missing. */
 struct iv_task_view *iv_planner_task_view (struct iv_planner *planner, const struct iv_task *task);
 
+/** Tasks in a state, as a list of struct iv_task. Free with g_ptr_array_free(). */
+GPtrArray *iv_planner_tasks_in (const struct iv_planner *planner, enum iv_task_state state);
+
 /** Report of @a worker on @a task's present attempt, or NULL. */
 struct iv_run_report *iv_view_report (const struct iv_view *view, const struct iv_task *task);
 
