--- a/tests/scripts/cluster.sh
+++ b/tests/scripts/cluster.sh
@@ -116,7 +116,7 @@
 # cluster_start USER SERVICE WORKERS INSTANCES HOSTS_IN_EACH_DOMAIN...: DOMAINS is set before.
 cluster_start() {
   USER_NAME=$1 SERVICE=$2
-  local workers=$3 instances=$4 i n index=0 name d addresses=()
+  local workers=$3 instances=$4 i n index=0 name d peers addresses=()
   shift 4
   WORK=$(mktemp -d)
   MEMBERS=""
@@ -128,7 +128,10 @@
   for i in "${!DOMAINS[@]}"; do
     for n in $(seq 1 "${counts[$i]}"); do
       name="${DOMAINS[$i]}-$n"
-      MEMBERS="$MEMBERS  - {host: $name, domain: ${DOMAINS[$i]}, peers: '$IP:$((BASE + 102 + 10 * index))'}"$'\n'
+      peers=$((BASE + 102 + 10 * index))
+      # With LINKED set, the others reach the first host by a link that can lose what passes.
+      [ -n "${LINKED:-}" ] && [ "$index" = 0 ] && peers=$((BASE + 960))
+      MEMBERS="$MEMBERS  - {host: $name, domain: ${DOMAINS[$i]}, peers: '$IP:$peers'}"$'\n'
       HOSTS+=("$name")
       HOST_DOMAIN[$name]=${DOMAINS[$i]}
       index=$((index + 1))
@@ -136,6 +139,7 @@
   done
   spawn platform ${PLATFORM_WRAP:-} "$BUILD/tests/platform_standin" "${addresses[@]}"
   PLATFORM_PID=$SPAWNED
+  [ -n "${LINKED:-}" ] && spawn link-peers "$BUILD/tests/link_standin" "$IP:$((BASE + 960))" "$IP:$((BASE + 102))" "$IP:$((BASE + 961))"
   for i in "${!DOMAINS[@]}"; do
     d=${DOMAINS[$i]}
     spawn "workers-$d" "$BUILD/tests/worker_standin" "${addresses[0]}" "$IP:$((BASE + 300 + 100 * i))" "$workers" "$d" "$d-w" \
--- a/tests/scripts/faults.sh
+++ b/tests/scripts/faults.sh
@@ -40,9 +40,19 @@
 frozen_worker_off() { worker_fault 0 0 frozen=0; }
 failing_worker_on() { worker_fault 0 1 fail=1; }
 failing_worker_off() { worker_fault 0 1 fail=0; }
+# Connections of the first instance that are open go silent for good; new ones work.
+silent_connections_on() { http -X POST "http://$IP:$((BASE + 951))/faults?mode=silent" >/dev/null; }
+silent_connections_off() { http -X POST "http://$IP:$((BASE + 951))/faults?mode=pass" >/dev/null; }
+peer_link() { http -X POST "http://$IP:$((BASE + 961))/faults?mode=$1" >/dev/null; }
+peer_cut_on() { peer_link cut; }
+peer_cut_off() { peer_link pass; }
+calls_lost_on() { peer_link forth; }
+calls_lost_off() { peer_link pass; }
+answers_lost_on() { peer_link back; }
+answers_lost_off() { peer_link pass; }
 domain_out_on() { ctl "$B" domain out rijeka >/dev/null; }
 domain_out_off() { ctl "$B" domain in rijeka >/dev/null; }
-FAULTS="kill_host freeze_host log_down log_lost log_slow domain_cut silent_upstream slow_upstream refusing_upstream frozen_upstreams frozen_worker failing_worker domain_out"
+FAULTS="kill_host freeze_host log_down log_lost log_slow domain_cut silent_upstream slow_upstream refusing_upstream frozen_upstreams frozen_worker failing_worker domain_out silent_connections peer_cut calls_lost answers_lost"
 
 # publish: a release note with one job; retried like an operator would until it is in force.
 publish() {
@@ -80,7 +90,10 @@
   expect "$fault: its at-most-once tasks finish" wait_for 30 job_is "$B" "once-$RELEASE" done
 }
 
-LEASE=2s HORIZON=3s cluster_start zlatar ticket 3 3 1 1 1
+LINKED=1 LEASE=2s HORIZON=3s cluster_start zlatar ticket 3 3 1 1 1
+spawn link-upstream "$BUILD/tests/link_standin" "$IP:$((BASE + 950))" "$IP:$((BASE + 700))" "$IP:$((BASE + 951))"
+http -X PUT -d "[{\"name\":\"split-u-1\",\"address\":\"$IP:$((BASE + 950))\"}]" "http://$IP:$((BASE + 1))/hosts/instances" >/dev/null
+sleep 1
 printf 'release: 1\nchanges: 0\nauthor: ops\nadded:\n  teams: [{name: t}]\n  services: [{name: ticket, team: t, cpu: 1, memory: 1GiB, instances: 6}]\n' >"$WORK/first.yaml"
 ctl "$B" release publish "$WORK/first.yaml" >/dev/null
 RELEASE=1
