--- a/state/tests/cell_test.c
+++ b/state/tests/cell_test.c
@@ -189,6 +189,10 @@
   assert_int_equal (apply (f, 0, import_of (5, 2, 3)), IV_FOLD_DONE);
   assert_int_equal (g_hash_table_size (f->cell->tasks), 1);
   assert_int_equal (apply (f, 0, import_of (5, 2, 1)), IV_FOLD_REFUSED);
+  /* Sent again after the task has ended here. */
+  assert_int_equal (apply (f, 1, finish (2, 4, IVX_CANCELLED)), IV_FOLD_DONE);
+  assert_int_equal (apply (f, 0, import_of (5, 2, 3)), IV_FOLD_REFUSED);
+  assert_int_equal (g_hash_table_size (f->cell->tasks), 0);
 }
 
 static void
