--- a/daemon/key_task.c
+++ b/daemon/key_task.c
@@ -29,18 +29,6 @@
   void *context;
 };
 
-static guint
-hash_key (gconstpointer data)
-{
-  return (guint)((const struct iv_key *)data)->lo;
-}
-
-static gboolean
-equal_key (gconstpointer a, gconstpointer b)
-{
-  return memcmp (a, b, sizeof (struct iv_key)) == 0;
-}
-
 static void
 on_batch (void *context, guint64 offset, const ivx_batch *batch, const guint8 *bytes, gsize len)
 {
@@ -71,7 +59,7 @@
   char *identity = g_strdup_printf ("%s/keys", settings->host);
   task->app = app;
   task->keys = iv_keys_new (KEYS_MAX, settings->routing.key_window_ms);
-  task->dispatched = g_hash_table_new_full (hash_key, equal_key, g_free, NULL);
+  task->dispatched = g_hash_table_new_full (iv_key_hash, iv_key_equal, g_free, NULL);
   task->appender
       = iv_appender_new (app->loop, app->deadlines, &app->log, STREAM, identity, app->incarnation,
                          settings->routing.key_group_ms, settings->platform.timeout_ms, FALSE);
--- a/daemon/route_answer.c
+++ b/daemon/route_answer.c
@@ -26,18 +26,6 @@
         "upgrade",     "te",         "trailer",           "server",         "date",
         OUTCOME_HEADER };
 
-static guint
-hash_key (gconstpointer data)
-{
-  return (guint)((const struct iv_key *)data)->lo;
-}
-
-static gboolean
-equal_key (gconstpointer a, gconstpointer b)
-{
-  return memcmp (a, b, sizeof (struct iv_key)) == 0;
-}
-
 static void
 free_row (gpointer data)
 {
@@ -52,7 +40,7 @@
 {
   struct iv_kept_answers *kept = g_new0 (struct iv_kept_answers, 1);
   kept->bytes_max = bytes_max;
-  kept->rows = g_hash_table_new_full (hash_key, equal_key, NULL, free_row);
+  kept->rows = g_hash_table_new_full (iv_key_hash, iv_key_equal, NULL, free_row);
   kept->order = g_queue_new ();
   return kept;
 }
--- a/route/keys.c
+++ b/route/keys.c
@@ -13,14 +13,14 @@
   struct iv_writers writers;
 };
 
-static guint
-hash_key (gconstpointer data)
+guint
+iv_key_hash (gconstpointer key)
 {
-  return (guint)((const struct iv_key *)data)->lo;
+  return (guint)((const struct iv_key *)key)->lo;
 }
 
-static gboolean
-equal_key (gconstpointer a, gconstpointer b)
+gboolean
+iv_key_equal (gconstpointer a, gconstpointer b)
 {
   const struct iv_key *x = a, *y = b;
   return x->hi == y->hi && x->lo == y->lo;
@@ -40,7 +40,7 @@
   struct iv_keys *keys = g_new0 (struct iv_keys, 1);
   keys->limit = limit;
   keys->window_ms = window_ms;
-  keys->entries = g_hash_table_new_full (hash_key, equal_key, NULL, free_entry);
+  keys->entries = g_hash_table_new_full (iv_key_hash, iv_key_equal, NULL, free_entry);
   keys->order = g_queue_new ();
   iv_writers_init (&keys->writers);
   return keys;
--- a/route/keys.h
+++ b/route/keys.h
@@ -50,6 +50,10 @@
 /** Hash @a text, the key of a request to @a service. */
 struct iv_key iv_key_of (const char *service, const char *text);
 
+/** Hash and comparison of struct iv_key, for tables. */
+guint iv_key_hash (gconstpointer key);
+gboolean iv_key_equal (gconstpointer a, gconstpointer b);
+
 /** Fold a batch of the stream "keys". */
 void iv_keys_apply (struct iv_keys *keys, gint64 now_ms, guint64 offset, const ivx_batch *batch);
 
