--- a/tests/scripts/capacity.sh
+++ b/tests/scripts/capacity.sh
@@ -4,7 +4,7 @@
 BUILD=${1:-build}
 out=docs/capacity
 mkdir -p "$out"
-"$BUILD/tests/slopes_bench" | tee "$out/slopes.txt"
+"$BUILD/bench/slopes_bench" | tee "$out/slopes.txt"
 for measure in decision_ns idle_cpu bytes_per_task snapshot recovery log_bytes_per_start; do
   unit=$(sed -n "s/^fit measure=$measure .*unit=//p" "$out/slopes.txt")
   sed -n "s/^slope measure=$measure workers=\([0-9]*\) value=\([0-9.]*\) .*/\1 \2/p" "$out/slopes.txt" >"$BUILD/$measure.dat"
