--- a/tests/scripts/fuzz.sh
+++ b/tests/scripts/fuzz.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # libFuzzer on every target: fuzz.sh BUILD RUNS SEED.
-set -eu
+set -euo pipefail
 BUILD=$1 RUNS=$2 SEED=$3
 for target in base/schema state/batch settings/note rpc/frame route/router sched/planner; do
   runs=$RUNS
