Bound starts by the age of the operators' word: at most the time in which a domain must be left

Cause: the setting 'evidence' allowed starts on a word that was 10 s old, twice the bound of an evacuation (5 s), and its age did not count time of suspension. Ruled out: a fixed age of 3.5 s with the present start window (same bound, but no start at all in the last 1.5 s). Instead a start carries a deadline that its evidence allows. Also: with four domains, one that is cut off held no more than the quarter of the workers above which an owner gives up early; a whole silent domain now counts.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -239,12 +239,15 @@
   g_byte_array_free (bytes, TRUE);
 }
 
-/* Starts need fresh evidence of which domains are in service. */
+/* Without the store's word an owner goes on for a while, a shorter one when it may be cut off. */
 static gboolean
-may_start (const struct iv_cell_task *task)
+held_too_long (const struct iv_cell_task *task)
 {
-  return iv_cell_now (task) - iv_stream_fresh_ms (task->links.operators)
-         < task->links.settings->evidence_ms;
+  const struct iv_fleet_settings *settings = task->links.settings;
+  gint64 unconfirmed = unconfirmed_ms (task);
+  if (unconfirmed <= settings->hold_cut_ms)
+    return FALSE;
+  return unconfirmed > settings->hold_ms || iv_owner_cut_off (task->owner);
 }
 
 static void
@@ -255,13 +258,12 @@
   struct iv_owner_leave leave;
   if (task->owner == NULL)
     return;
-  if (unconfirmed_ms (task) > (iv_owner_cut_off (task->owner) ? task->links.settings->hold_cut_ms
-                                                              : task->links.settings->hold_ms))
+  if (held_too_long (task))
     {
       iv_cell_lose (task, "unconfirmed");
       return;
     }
-  leave.starts = may_start (task);
+  leave.evidence_age_ms = iv_stream_age_ms (task->links.operators);
   leave.confirmed = unconfirmed_ms (task) < task->links.settings->member_ttl_ms;
   iv_owner_step (task->owner, &leave, now, iv_clock_wall_ms ());
   if (iv_owner_deposed (task->owner))
@@ -316,7 +318,10 @@
 iv_cell_begin (struct iv_cell_task *task)
 {
   const struct iv_fleet_settings *settings = task->links.settings;
-  struct iv_owner_limits limits = { settings->lease_ms, settings->start_ms, settings->horizon_ms };
+  struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
+                                    .start_ms = settings->start_ms,
+                                    .horizon_ms = settings->horizon_ms,
+                                    .evidence_ms = settings->evidence_ms };
   struct iv_owner_effects effects
       = { task, send_start, send_stop, send_look, send_pace, queue_rule, domain_open };
   struct iv_worker_answers answers = { task, on_started, on_stopped, on_looked };
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -19,6 +19,7 @@
 #define LEAVE_UNREADY_MS 2500 /* the balancer needs two misses, a second apart */
 #define LEAVE_TICK_MS 50
 #define SWEEP_EVERY_MS 5000
+#define KEEP_MARGIN_MS 30000 /* hosts' clocks differ, by seconds at worst */
 
 struct iv_fleet_app
 {
@@ -199,7 +200,7 @@
   gint64 before;
   GPtrArray *old = g_ptr_array_new ();
   gpointer both[2] = { old, &before };
-  before = iv_clock_wall_ms () - app->settings->fleet.keep_ms;
+  before = iv_clock_wall_ms () - app->settings->fleet.keep_ms - KEEP_MARGIN_MS;
   iv_book_each (app->book, collect_old, both);
   for (guint i = 0; i < old->len; i++)
     {
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -1,5 +1,6 @@
 #include "stream.h"
 
+#include "clock.h"
 #include "event.h"
 
 #define READ_SLACK_MS 1500 /* beyond the wait; a slow store answers within a few hundred */
@@ -33,7 +34,8 @@
   gint64 position;
   gint64 newest_end;
   gint64 sent_ms;
-  gint64 fresh_ms;
+  gint64 sent_boot_ms;
+  gint64 fresh_boot_ms;
   gint64 retry_ms;
 };
 
@@ -229,7 +231,7 @@
   behind = records->next < records->end && records->rows->len > 0;
   if (!behind)
     {
-      stream->fresh_ms = stream->sent_ms;
+      stream->fresh_boot_ms = stream->sent_boot_ms;
       serve_barriers (stream);
     }
   else
@@ -251,6 +253,7 @@
     return;
   stream->reading = TRUE;
   stream->sent_ms = now_of (stream);
+  stream->sent_boot_ms = iv_clock_boot_ms ();
   if (stream->history)
     {
       iv_store_read (stream->store, stream->topic, stream->position, 0,
@@ -316,9 +319,9 @@
 }
 
 gint64
-iv_stream_fresh_ms (const struct iv_stream *stream)
+iv_stream_age_ms (const struct iv_stream *stream)
 {
-  return stream->fresh_ms;
+  return iv_clock_boot_ms () - stream->fresh_boot_ms;
 }
 
 void
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -38,8 +38,9 @@
 gboolean iv_stream_loaded (const struct iv_stream *stream);
 gint64 iv_stream_position (const struct iv_stream *stream);
 
-/** When the newest successful read was sent: what was stored before is folded. */
-gint64 iv_stream_fresh_ms (const struct iv_stream *stream);
+/** Milliseconds, time of suspension included, since the newest read that showed nothing newer was
+ *  sent: what was stored before it is folded. */
+gint64 iv_stream_age_ms (const struct iv_stream *stream);
 
 /** Change the gap between two reads. */
 void iv_stream_set_gap (struct iv_stream *stream, gint64 gap_ms);
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -65,7 +65,7 @@
   struct iv_start_order order = {
     .name = *name, .number = number, .spec = work->job->spec.spec, .checkpoint = task->checkpoint
   };
-  order.until_clock = iv_worker_clock (worker, now_ms) + owner->limits.start_ms;
+  order.until_clock = iv_worker_clock (worker, now_ms) + owner->start_ms;
   run->phase = IV_PHASE_STARTING;
   run->workload = iv_sharing_workload (owner, stage->step);
   iv_sharing_added (owner, run, now_ms);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -8,6 +8,7 @@
 #define RUN_TERM_SHIFT 20 /* runs of one task by one owner */
 #define LOOK_WAIT_MS 500  /* a list at least this often shows stalls and tails */
 #define STOP_RETRY_MS 400
+#define START_LEAST_MS 100 /* for an order to arrive: domains are milliseconds apart */
 
 /* Harm of a task that fills, per share of the host: nothing for most pairs of images, up to
    nine times the calm tail for some, measured on the users' bench. */
@@ -416,7 +417,10 @@
     }
   for (guint i = 0; i < owner->works->len; i++)
     owner->changed |= iv_work_open_due (g_ptr_array_index (owner->works, i), wall_ms);
-  if (leave->starts && owner->listed)
+  /* A start that is late on its way is not carried out on evidence that has grown too old. */
+  owner->start_ms
+      = MIN (owner->limits.start_ms, owner->limits.evidence_ms - leave->evidence_age_ms);
+  if (owner->start_ms >= START_LEAST_MS && owner->listed)
     iv_owner_dispatch (owner, now_ms);
   step_workers (owner, leave->confirmed, now_ms);
   iv_owner_log_load (owner, now_ms);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -88,9 +88,10 @@
 /** Time limits, milliseconds. */
 struct iv_owner_limits
 {
-  gint64 lease_ms;   /**< renewed with every look */
-  gint64 start_ms;   /**< a start is refused when it arrives later */
-  gint64 horizon_ms; /**< after it, nothing of a former owner runs on a silent worker */
+  gint64 lease_ms;    /**< renewed with every look */
+  gint64 start_ms;    /**< a start is refused when it arrives later */
+  gint64 horizon_ms;  /**< after it, nothing of a former owner runs on a silent worker */
+  gint64 evidence_ms; /**< no task starts when the word on failure domains is older */
 };
 
 /** What the owner causes. */
@@ -155,8 +156,8 @@
 /** What the owner may do now. */
 struct iv_owner_leave
 {
-  gboolean starts;    /**< the evidence about domains is fresh enough for starts */
-  gboolean confirmed; /**< nobody else can own the cell */
+  gint64 evidence_age_ms; /**< age of the newest word on which failure domains are in service */
+  gboolean confirmed;     /**< nobody else can own the cell */
 };
 
 /** Look and start whatever is due. */
--- a/jobs/owner_load.c
+++ b/jobs/owner_load.c
@@ -3,7 +3,7 @@
 #include "event.h"
 
 #define LOAD_EVERY_MS 2000
-#define CUT_OFF_PERCENT 25 /* of the workers: a domain holds more */
+#define CUT_OFF_PERCENT 25 /* of the workers: more than fail at once by themselves */
 
 struct load
 {
@@ -70,21 +70,52 @@
       load.runs, load.fills, load.paced, load.halted, owner->works->len, load.waiting);
 }
 
+/* Workers of one failure domain that have answered before. */
+struct domain_count
+{
+  guint workers;
+  guint silent;
+};
+
+static struct domain_count *
+count_of (GHashTable *domains, const char *domain)
+{
+  struct domain_count *count = g_hash_table_lookup (domains, domain);
+  if (count)
+    return count;
+  count = g_new0 (struct domain_count, 1);
+  g_hash_table_insert (domains, (char *)domain, count);
+  return count;
+}
+
 gboolean
 iv_owner_cut_off (const struct iv_owner *owner)
 {
+  GHashTable *domains = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   GHashTableIter iter;
   gpointer value;
   guint silent = 0;
-  guint busy = 0;
+  guint all = 0;
+  gboolean domain_silent = FALSE;
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct iv_fleet_worker *worker = value;
+      struct domain_count *count;
       if (!worker->listed || !worker->fenced)
         continue;
-      busy++;
+      count = count_of (domains, worker->domain);
+      count->workers++;
+      count->silent += worker->failures > 0;
+      all++;
       silent += worker->failures > 0;
     }
-  return silent * 100 > busy * CUT_OFF_PERCENT;
+  g_hash_table_iter_init (&iter, domains);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct domain_count *count = value;
+      domain_silent |= count->workers > 1 && count->workers == count->silent;
+    }
+  g_hash_table_destroy (domains);
+  return domain_silent || silent * 100 > all * CUT_OFF_PERCENT;
 }
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -18,6 +18,7 @@
   gint64 term;
   gint64 run_base; /**< every run of this owner has a higher number */
   gint64 since_ms;
+  gint64 start_ms; /**< a start that is sent now is refused when it arrives later than this */
   gint64 wall_ms;
   gint64 load_at_ms;
   gboolean handed_over; /**< only the workers in `unsure` are waited for */
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -348,7 +348,7 @@
 {
   for (gint64 end = bench->now_ms + ms; bench->now_ms < end;)
     {
-      struct iv_owner_leave leave = { bench->starts, bench->confirmed };
+      struct iv_owner_leave leave = { bench->evidence_age_ms, bench->confirmed };
       bench->now_ms += STEP_MS;
       bench->wall_ms += STEP_MS;
       lapse (bench);
@@ -370,12 +370,12 @@
   bench->calls = g_ptr_array_new ();
   bench->now_ms = 1000;
   bench->wall_ms = 1000000;
-  bench->starts = TRUE;
   bench->confirmed = TRUE;
   bench->stored = TRUE;
   bench->attempts = 3;
-  bench->limits
-      = (struct iv_owner_limits){ .lease_ms = 5000, .start_ms = 1500, .horizon_ms = 8600 };
+  bench->limits = (struct iv_owner_limits){
+    .lease_ms = 5000, .start_ms = 1500, .horizon_ms = 8600, .evidence_ms = 5000
+  };
   for (guint i = 0; i < workers; i++)
     {
       struct bench_worker *worker = &bench->workers[i];
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -54,7 +54,7 @@
   gint64 term;
   gint64 now_ms;
   gint64 wall_ms;
-  gboolean starts;
+  gint64 evidence_age_ms;
   gboolean confirmed;
   gboolean stored;   /**< records are stored */
   gboolean stuck;    /**< nothing makes progress */
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -9,6 +9,7 @@
 
 #define JOB "00000000000000aa"
 #define OTHER "00000000000000bb"
+#define STALE_MS 5000 /* the bench permits starts on younger evidence */
 
 static ivj_step steps[3];
 static ivj_job spec;
@@ -162,10 +163,10 @@
   struct bench *bench = bench_new (2);
   bench_own (bench);
   make_job (1, 0);
-  bench->starts = FALSE;
+  bench->evidence_age_ms = STALE_MS;
   bench_submit (bench, JOB, &spec);
   bench_run_for (bench, 100);
-  bench->starts = TRUE;
+  bench->evidence_age_ms = 0;
   bench->workers[0].silent = TRUE;
   bench->workers[0].draining = TRUE;
   bench_own (bench);
@@ -186,7 +187,7 @@
       char **ids;
       bench_own (bench);
       make_job (busy ? 4 : 1, 0);
-      bench->starts = busy;
+      bench->evidence_age_ms = busy ? 0 : STALE_MS;
       bench_submit (bench, JOB, &spec);
       bench_run_for (bench, 200);
       unsure = iv_owner_unsure_workers (bench->owner);
@@ -194,7 +195,7 @@
       ids = g_new0 (char *, unsure->len + 1);
       for (guint i = 0; i < unsure->len; i++)
         ids[i] = g_strdup (g_ptr_array_index (unsure, i));
-      bench->starts = TRUE;
+      bench->evidence_age_ms = 0;
       bench->workers[0].silent = TRUE;
       bench_own (bench);
       iv_owner_handed_over (bench->owner, ids);
@@ -471,17 +472,36 @@
 {
   struct bench *bench = bench_new (1);
   bench_own (bench);
-  bench->starts = FALSE;
+  bench->evidence_age_ms = STALE_MS;
   make_job (1, 0);
   bench_submit (bench, JOB, &spec);
   bench_run_for (bench, 500);
   assert_int_equal (bench_total (bench), 0);
-  bench->starts = TRUE;
+  bench->evidence_age_ms = 0;
   bench_run_for (bench, 100);
   assert_int_equal (bench_total (bench), 1);
   bench_free (bench);
 }
 
+/* A start on its way when a domain is taken out is refused once its evidence is too old. */
+static void
+test_late_start_is_bound_by_its_evidence (void **state)
+{
+  struct bench *bench = bench_new (1);
+  bench_own (bench);
+  bench_run_for (bench, 100);
+  bench->evidence_age_ms = 4500;
+  bench->workers[0].late_ms = 600;
+  make_job (1, 0);
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 30);
+  assert_int_equal (bench->started, 1);
+  bench->evidence_age_ms = STALE_MS;
+  bench_run_for (bench, 1000);
+  assert_int_equal (bench_total (bench), 0);
+  bench_free (bench);
+}
+
 static void
 test_fenced_owner_is_deposed (void **state)
 {
@@ -660,6 +680,26 @@
   bench_free (bench);
 }
 
+/* Four domains: a quarter of the workers is one of them, and its loss may be a cut. */
+static void
+test_one_silent_domain_of_many_counts_as_cut_off (void **state)
+{
+  struct bench *bench = bench_new (8);
+  for (guint i = 0; i < 8; i++)
+    g_snprintf (bench->workers[i].domain, sizeof bench->workers[i].domain, "d%u", i / 2);
+  bench_own (bench);
+  make_job (16, 0);
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 200);
+  bench->workers[2].silent = TRUE;
+  bench_run_for (bench, 2000);
+  assert_false (iv_owner_cut_off (bench->owner));
+  bench->workers[3].silent = TRUE;
+  bench_run_for (bench, 2000);
+  assert_true (iv_owner_cut_off (bench->owner));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -686,6 +726,7 @@
     cmocka_unit_test (test_reborn_worker_runs_nothing),
     cmocka_unit_test (test_no_start_in_a_domain_out_of_service),
     cmocka_unit_test (test_no_start_without_evidence),
+    cmocka_unit_test (test_late_start_is_bound_by_its_evidence),
     cmocka_unit_test (test_fenced_owner_is_deposed),
     cmocka_unit_test (test_gang_starts_whole_or_not_at_all),
     cmocka_unit_test (test_label_and_spread_are_kept),
@@ -694,6 +735,7 @@
     cmocka_unit_test (test_starved_filler_gets_a_place),
     cmocka_unit_test (test_learning_outlives_an_owner),
     cmocka_unit_test (test_silent_domain_counts_as_cut_off),
+    cmocka_unit_test (test_one_silent_domain_of_many_counts_as_cut_off),
     cmocka_unit_test (test_fillers_yield_to_tails),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -150,7 +150,7 @@
          .min = 1000, .max = HOUR_MS),
   KEYED ("start_window", iv_fleet_settings, start_ms, .kind = IV_FIELD_DURATION, .fallback = 1500,
          .min = 100, .max = HOUR_MS),
-  KEYED ("evidence", iv_fleet_settings, evidence_ms, .kind = IV_FIELD_DURATION, .fallback = 10000,
+  KEYED ("evidence", iv_fleet_settings, evidence_ms, .kind = IV_FIELD_DURATION, .fallback = 5000,
          .min = 1000, .max = HOUR_MS),
   KEYED ("hold", iv_fleet_settings, hold_ms, .kind = IV_FIELD_DURATION, .fallback = 8000,
          .min = 1000, .max = HOUR_MS),
@@ -162,7 +162,7 @@
          .fallback = 1000, .min = 100, .max = HOUR_MS),
   KEYED ("grace", iv_fleet_settings, grace_ms, .kind = IV_FIELD_DURATION, .fallback = 5000,
          .min = 100, .max = HOUR_MS),
-  KEYED ("keep", iv_fleet_settings, keep_ms, .kind = IV_FIELD_DURATION, .fallback = 150000,
+  KEYED ("keep", iv_fleet_settings, keep_ms, .kind = IV_FIELD_DURATION, .fallback = 120000,
          .min = 1000, .max = 24 * HOUR_MS),
   { 0 },
 };
