--- a/base/schema.c
+++ b/base/schema.c
@@ -133,10 +133,23 @@
   [IV_FIELD_CPU] = { cpu_units, "a number of cores, or of milli-cores with the unit m" },
 };
 
+/* One to three digits after a point. Returns what follows them, or NULL. */
+static char *
+parse_fraction (char *text, gint64 *thousandths)
+{
+  gint64 scale = 100;
+  char *at = text;
+  for (; g_ascii_isdigit (*at) && scale > 0; at++, scale /= 10)
+    *thousandths += (*at - '0') * scale;
+  return at == text || g_ascii_isdigit (*at) ? NULL : at;
+}
+
+/* A fraction is taken where it makes a whole number of the smallest unit. */
 static gboolean
 parse_number (const char *text, const struct unit *units, gint64 *value)
 {
   char *end;
+  gint64 thousandths = 0;
   gint64 number;
   if (!g_ascii_isdigit (text[0]) && text[0] != '-')
     return FALSE;
@@ -144,14 +157,19 @@
   number = g_ascii_strtoll (text, &end, 10);
   if (errno != 0 || end == text)
     return FALSE;
+  if (*end == '.')
+    end = parse_fraction (end + 1, &thousandths);
+  if (end == NULL || (thousandths > 0 && text[0] == '-'))
+    return FALSE;
   while (*end == ' ')
     end++;
   for (; units->suffix; units++)
     if (strcmp (end, units->suffix) == 0)
       {
-        if (number > G_MAXINT64 / units->factor || number < G_MININT64 / units->factor)
+        if (number > G_MAXINT64 / units->factor - 1 || number < G_MININT64 / units->factor
+            || thousandths * units->factor % 1000 != 0)
           return FALSE;
-        *value = number * units->factor;
+        *value = number * units->factor + thousandths * units->factor / 1000;
         return TRUE;
       }
   return FALSE;
--- a/base/tests/schema_test.c
+++ b/base/tests/schema_test.c
@@ -98,6 +98,22 @@
   iv_findings_free (findings);
 }
 
+static void
+test_fractions (void **state)
+{
+  struct outer out = { 0 };
+  char *report = findings_of ("level: low\nwait: 1.25s\n", &out);
+  assert_string_equal (report, "");
+  assert_int_equal (out.wait_ms, 1250);
+  g_free (report);
+  report = findings_of ("level: low\nwait: 1.5ms\n", &out);
+  assert_non_null (strstr (report, "expected a number"));
+  g_free (report);
+  report = findings_of ("level: low\nwait: 1.s\n", &out);
+  assert_non_null (strstr (report, "expected a number"));
+  g_free (report);
+}
+
 static void
 test_defaults (void **state)
 {
@@ -151,11 +167,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_values),
-    cmocka_unit_test (test_defaults),
-    cmocka_unit_test (test_all_findings_at_once),
-    cmocka_unit_test (test_structure),
-    cmocka_unit_test (test_addresses),
+    cmocka_unit_test (test_values),    cmocka_unit_test (test_fractions),
+    cmocka_unit_test (test_defaults),  cmocka_unit_test (test_all_findings_at_once),
+    cmocka_unit_test (test_structure), cmocka_unit_test (test_addresses),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -1,16 +1,12 @@
 #include "cell_private.h"
 
-#include "clock.h"
 #include "event.h"
 #include "names.h"
 
 #include <string.h>
 
-#define GROUP "cell0"
-#define JOIN_EVERY_MS 300
-#define JOIN_TIMEOUT_MS 900
 #define CLAIM_TIMEOUT_MS 1000
-#define LEAVE_TIMEOUT_MS 500
+#define HANDOVER_TIMEOUT_MS 500
 
 static void
 on_caught_up (void *context)
@@ -30,8 +26,8 @@
   struct iv_cell_task *task = context;
   if (outcome != IV_STORE_OK || task->resigned)
     {
-      iv_event (IV_LEVEL_INFO, "owner.claim_failed", "term=%" G_GINT64_FORMAT " outcome=%s",
-                task->claim_term, iv_store_outcome_name (outcome));
+      iv_event (IV_LEVEL_INFO, "owner.claim_failed", "cell=%u term=%" G_GINT64_FORMAT " outcome=%s",
+                task->cell, task->claim_term, iv_store_outcome_name (outcome));
       task->lost_term = MAX (task->lost_term, task->claim_term);
       task->claiming = FALSE;
       return;
@@ -46,7 +42,7 @@
 send_claim (void *context)
 {
   struct iv_cell_task *task = context;
-  struct iv_store_writer writer = { .name = IV_CELL_WRITER };
+  struct iv_store_writer writer = { .name = task->writer };
   GByteArray *body;
   char *value;
   if (!task->claiming || task->resigned)
@@ -56,14 +52,16 @@
       task->claiming = FALSE;
       return;
     }
-  task->claim_term = MAX (task->generation, MAX (task->lost_term, task->incumbent_term) + 1);
+  task->claim_term = MAX (iv_membership_generation (task->links.membership),
+                          MAX (task->lost_term, task->incumbent_term) + 1);
   task->replaced_term = task->incumbent_term;
   task->sequence = g_random_int_range (1, G_MAXINT32 / 2);
   writer.epoch = task->claim_term;
   writer.sequence = task->sequence;
   body = g_byte_array_new ();
-  value = g_strdup_printf ("%" G_GINT64_FORMAT " %s", task->claim_term, task->member);
-  iv_store_frame (body, IV_KEY_OWNER, value, strlen (value));
+  value = g_strdup_printf ("%" G_GINT64_FORMAT " %s", task->claim_term,
+                           iv_membership_name (task->links.membership));
+  iv_cell_frame (task, body, IV_KEY_OWNER, value, strlen (value));
   iv_store_append (task->links.store, IV_TOPIC_JOBS, &writer, body,
                    iv_cell_now (task) + CLAIM_TIMEOUT_MS, on_claimed, task);
   g_free (value);
@@ -82,12 +80,20 @@
   iv_stream_barrier (task->links.jobs, send_claim, task);
 }
 
+static gboolean
+may_claim (const struct iv_cell_task *task)
+{
+  const struct iv_layout *layout = task->links.layout (task->links.context);
+  return layout && task->cell < iv_layout_cells (layout) && !task->resigned && !task->owner;
+}
+
 static void
 on_members (void *context, const GPtrArray *members)
 {
   struct iv_cell_task *task = context;
   task->asking = FALSE;
-  if (members == NULL || task->resigned || task->owner || !task->holds)
+  if (members == NULL || !may_claim (task)
+      || !iv_membership_holds (task->links.membership, task->cell))
     return;
   for (guint i = 0; i < members->len; i++)
     if (strcmp (g_ptr_array_index (members, i), task->incumbent) == 0)
@@ -95,56 +101,25 @@
   claim (task);
 }
 
-/* Whoever holds the first partition replaces an owner that is no member any more. */
-static void
-consider (struct iv_cell_task *task)
+/* Whoever holds the cell's partition replaces an owner that is no member any more. */
+void
+iv_cell_task_confirmed (struct iv_cell_task *task)
 {
-  if (task->owner || task->claiming || task->asking)
+  if (!may_claim (task) || task->claiming || task->asking)
     return;
-  if (strcmp (task->incumbent, task->member) == 0)
+  if (strcmp (task->incumbent, iv_membership_name (task->links.membership)) == 0)
     claim (task);
-  else if (!task->holds)
+  else if (!iv_membership_holds (task->links.membership, task->cell))
     return;
   else if (*task->incumbent == '\0')
     claim (task);
   else
     {
       task->asking = TRUE;
-      iv_store_members (task->links.store, GROUP, iv_cell_now (task) + JOIN_TIMEOUT_MS, on_members,
-                        task);
+      iv_membership_list (task->links.membership, on_members, task);
     }
 }
 
-static void
-on_joined (void *context, const struct iv_store_membership *membership)
-{
-  struct iv_cell_task *task = context;
-  task->joining = FALSE;
-  if (task->resigned)
-    return;
-  iv_deadline_set (task->links.deadlines, &task->join,
-                   MAX (iv_cell_now (task), task->join_sent_ms + JOIN_EVERY_MS));
-  if (membership->outcome != IV_STORE_OK)
-    return;
-  task->generation = membership->generation;
-  task->holds = membership->holds;
-  task->confirmed_ms = task->join_sent_boot_ms;
-  consider (task);
-}
-
-void
-iv_cell_join (void *context)
-{
-  struct iv_cell_task *task = context;
-  if (task->joining || task->resigned)
-    return;
-  task->joining = TRUE;
-  task->join_sent_ms = iv_cell_now (task);
-  task->join_sent_boot_ms = iv_clock_boot_ms ();
-  iv_store_join (task->links.store, GROUP, task->member, task->links.settings->member_ttl_ms,
-                 task->generation, task->join_sent_ms + JOIN_TIMEOUT_MS, on_joined, task);
-}
-
 void
 iv_cell_task_claimed (struct iv_cell_task *task, const char *value, gsize len)
 {
@@ -189,9 +164,9 @@
   g_string_printf (text, "%" G_GINT64_FORMAT, task->term);
   for (guint i = 0; i < ids->len; i++)
     g_string_append_printf (text, " %s", (const char *)g_ptr_array_index (ids, i));
-  iv_store_frame (body, IV_KEY_HANDOVER, text->str, text->len);
+  iv_cell_frame (task, body, IV_KEY_HANDOVER, text->str, text->len);
   iv_store_append (task->links.store, IV_TOPIC_JOBS, &nobody, body,
-                   iv_cell_now (task) + LEAVE_TIMEOUT_MS, on_handed_over, NULL);
+                   iv_cell_now (task) + HANDOVER_TIMEOUT_MS, on_handed_over, NULL);
   g_byte_array_free (body, TRUE);
   g_string_free (text, TRUE);
   g_ptr_array_free (ids, TRUE);
@@ -207,6 +182,4 @@
   iv_cell_lose (task, "resigned");
   task->resigned = TRUE;
   task->claiming = FALSE;
-  iv_deadline_unset (task->links.deadlines, &task->join);
-  iv_store_leave (task->links.store, GROUP, task->member, iv_cell_now (task) + LEAVE_TIMEOUT_MS);
 }
--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -9,27 +9,18 @@
 #include "recorder.h"
 #include "worker_calls.h"
 
-#define IV_CELL_WRITER "owner" /**< name under which owners append; their term is the epoch */
-
 struct iv_cell_task
 {
   struct iv_cell_links links;
-  struct iv_deadline join;
+  guint cell;
+  char *writer; /* name under which the cell's owners append; their term is the epoch */
   struct iv_deadline step;
-  char *member;    /* this life of this host */
   char *incumbent; /* member whose claim is the newest; "" for none */
   gint64 incumbent_term;
-  char *expected;    /* the incumbent that our claim replaces */
-  gint64 generation; /* last one received */
-  gint64 lost_term;  /* never claim with this one or a lower one again */
-  gint64 sequence;   /* of the claim */
-  gboolean holds;    /* the first partition: a replacement is up to us */
+  char *expected;   /* the incumbent that our claim replaces */
+  gint64 lost_term; /* never claim with this one or a lower one again */
+  gint64 sequence;  /* of the claim */
   gboolean asking;
-  gint64 confirmed_ms; /* when the newest join that confirmed us was sent, time of suspension
-                          included */
-  gint64 join_sent_ms;
-  gint64 join_sent_boot_ms;
-  gboolean joining;
   gboolean claiming;
   gboolean resigned;
   gint64 claim_term;
@@ -44,18 +35,20 @@
   gint64 replaced_term; /* of the owner that our claim replaces */
   GByteArray *model;    /* newest record of what an owner learnt; NULL for none */
   gint64 model_at_ms;   /* when to record it next */
+  gint64 load_at_ms;    /* when to record the cell's room next */
 };
 
 /** Present time of the loop. */
 gint64 iv_cell_now (const struct iv_cell_task *task);
 
+/** Add a record of the cell, whose key is @a prefix and its number, to the body of an append. */
+void iv_cell_frame (const struct iv_cell_task *task, GByteArray *body, const char *prefix,
+                    const void *value, gsize len);
+
 /** The claim is stored and everything before it is folded: own the cell. */
 void iv_cell_begin (struct iv_cell_task *task);
 
 /** Own the cell no longer. */
 void iv_cell_lose (struct iv_cell_task *task, const char *reason);
 
-/** Join the group of candidates, or stay in it; the task is the context. */
-void iv_cell_join (void *context);
-
 #endif
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -9,10 +9,13 @@
 #define STEP_EVERY_MS 25
 #define RECORD_GATHER_MS 20
 #define MODEL_EVERY_MS 2000
+#define LOAD_EVERY_MS 500 /* other cells send jobs by it */
 #define WORKERS_GAP_MS 250
 #define WORKERS_WAIT_MS 1000
-#define JOBS_GAP_OWNER_MS 10 /* the owner learns of new jobs by reading */
-#define JOBS_GAP_OTHER_MS 250
+#define JOBS_GAP_OWNER_MS                                                                          \
+  10 /* the owner learns of new jobs by reading; for each cell, as reads are priced */
+#define JOBS_GAP_OWNER_MAX_MS 40
+#define JOBS_GAP_OTHER_MS 500
 
 gint64
 iv_cell_now (const struct iv_cell_task *task)
@@ -20,11 +23,13 @@
   return (gint64)uv_now (task->links.loop);
 }
 
-/* Others replace an owner that is suspended, so its confirmation ages meanwhile. */
-static gint64
-unconfirmed_ms (const struct iv_cell_task *task)
+void
+iv_cell_frame (const struct iv_cell_task *task, GByteArray *body, const char *prefix,
+               const void *value, gsize len)
 {
-  return iv_clock_boot_ms () - task->confirmed_ms;
+  char key[32];
+  g_snprintf (key, sizeof key, "%s%u", prefix, task->cell);
+  iv_store_frame (body, key, value, len);
 }
 
 static void
@@ -40,8 +45,8 @@
 {
   if (task->owner == NULL)
     return;
-  iv_event (IV_LEVEL_WARNING, "owner.lost", "term=%" G_GINT64_FORMAT " reason=%s", task->term,
-            reason);
+  iv_event (IV_LEVEL_WARNING, "owner.lost", "cell=%u term=%" G_GINT64_FORMAT " reason=%s",
+            task->cell, task->term, reason);
   task->lost_term = task->term;
   iv_owner_free (task->owner);
   task->owner = NULL;
@@ -131,6 +136,55 @@
   return task->links.domain_open (task->links.context, domain);
 }
 
+static gboolean
+owns_job (void *context, const struct iv_job *job)
+{
+  struct iv_cell_task *task = context;
+  const struct iv_layout *layout = task->links.layout (task->links.context);
+  return layout && iv_layout_job_cell (layout, job) == task->cell;
+}
+
+static gint
+roomier_cell (void *context, gint64 cpu_milli, gboolean fills)
+{
+  struct iv_cell_task *task = context;
+  return task->links.roomier_cell (task->links.context, task->cell, cpu_milli, fills);
+}
+
+/* A job that leaves for another cell: it is ours again when that could not be stored. */
+struct moving
+{
+  struct iv_cell_task *task;
+  gint64 term;
+  char id[IV_JOB_ID_LEN + 1];
+};
+
+static void
+on_moved (void *context, enum iv_status status, gint64 end)
+{
+  struct moving *moving = context;
+  struct iv_cell_task *task = moving->task;
+  struct iv_job *job = iv_book_find (task->links.book, moving->id);
+  if (status == IV_ERR_UNAVAILABLE && job && task->owner && task->term == moving->term)
+    iv_owner_job (task->owner, job, iv_cell_now (task));
+  g_free (moving);
+}
+
+static void
+move_job (void *context, const struct iv_job *job, guint cell)
+{
+  struct iv_cell_task *task = context;
+  struct moving *moving = g_new0 (struct moving, 1);
+  char key[IV_JOB_ID_LEN + 8];
+  char value[16];
+  moving->task = task;
+  moving->term = task->term;
+  g_strlcpy (moving->id, job->id, sizeof moving->id);
+  g_snprintf (key, sizeof key, "%s" IV_KEY_MOVE, job->id);
+  g_snprintf (value, sizeof value, "%u", cell);
+  iv_recorder_add (task->recorder, key, value, strlen (value), on_moved, moving);
+}
+
 /* A group of records is stored: ends may be forgotten by their workers. */
 struct recording
 {
@@ -224,7 +278,15 @@
   g_ptr_array_free (jobs, TRUE);
 }
 
-/* Rides on the appends of progress. */
+static void
+record_for_cell (struct iv_cell_task *task, const char *prefix, const void *value, gsize len)
+{
+  char key[32];
+  g_snprintf (key, sizeof key, "%s%u", prefix, task->cell);
+  iv_recorder_add (task->recorder, key, value, len, NULL, NULL);
+}
+
+/* Ride on the appends of progress. */
 static void
 record_model (struct iv_cell_task *task)
 {
@@ -235,16 +297,32 @@
   bytes = iv_owner_save_model (task->owner, iv_cell_now (task));
   if (bytes == NULL)
     return;
-  iv_recorder_add (task->recorder, IV_KEY_MODEL, bytes->data, bytes->len, NULL, NULL);
+  record_for_cell (task, IV_KEY_MODEL, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
 }
 
+static void
+record_load (struct iv_cell_task *task)
+{
+  const struct iv_layout *layout = task->links.layout (task->links.context);
+  struct iv_cell_room room;
+  char value[64];
+  if (iv_cell_now (task) < task->load_at_ms || iv_recorder_busy (task->recorder)
+      || iv_layout_cells (layout) == 1)
+    return;
+  task->load_at_ms = iv_cell_now (task) + LOAD_EVERY_MS;
+  iv_owner_room (task->owner, &room);
+  g_snprintf (value, sizeof value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT, room.free_milli,
+              room.fill_milli);
+  record_for_cell (task, IV_KEY_LOAD, value, strlen (value));
+}
+
 /* Without the store's word an owner goes on for a while, a shorter one when it may be cut off. */
 static gboolean
 held_too_long (const struct iv_cell_task *task)
 {
   const struct iv_fleet_settings *settings = task->links.settings;
-  gint64 unconfirmed = unconfirmed_ms (task);
+  gint64 unconfirmed = iv_membership_unconfirmed_ms (task->links.membership);
   if (unconfirmed <= settings->hold_cut_ms)
     return FALSE;
   return unconfirmed > settings->hold_ms || iv_owner_cut_off (task->owner);
@@ -264,7 +342,8 @@
       return;
     }
   leave.evidence_age_ms = iv_stream_age_ms (task->links.operators);
-  leave.confirmed = unconfirmed_ms (task) < task->links.settings->member_ttl_ms;
+  leave.confirmed
+      = iv_membership_unconfirmed_ms (task->links.membership) < task->links.settings->member_ttl_ms;
   iv_owner_step (task->owner, &leave, now, iv_clock_wall_ms ());
   if (iv_owner_deposed (task->owner))
     {
@@ -272,6 +351,7 @@
       return;
     }
   record_model (task);
+  record_load (task);
   record (task);
   if (task->owner)
     step_after (task, STEP_EVERY_MS);
@@ -282,6 +362,7 @@
 {
   struct iv_cell_task *task = context;
   const struct iv_routes *routes = task->links.routes (task->links.context);
+  const struct iv_layout *layout = task->links.layout (task->links.context);
   struct iv_wire_worker worker;
   if (task->owner == NULL)
     return;
@@ -296,6 +377,11 @@
                 iv_quote (iv_last_message ()));
       return;
     }
+  if (iv_layout_worker_cell (layout, worker.listed.rack) != task->cell)
+    {
+      iv_wire_worker_clear (&worker);
+      return;
+    }
   if (routes == NULL || iv_routes_name_service (routes, worker.listed.service))
     iv_owner_listed (task->owner, &worker.listed, iv_cell_now (task));
   else
@@ -317,13 +403,22 @@
 void
 iv_cell_begin (struct iv_cell_task *task)
 {
+  const struct iv_layout *layout = task->links.layout (task->links.context);
   const struct iv_fleet_settings *settings = task->links.settings;
   struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
                                     .start_ms = settings->start_ms,
                                     .horizon_ms = settings->horizon_ms,
                                     .evidence_ms = settings->evidence_ms };
-  struct iv_owner_effects effects
-      = { task, send_start, send_stop, send_look, send_pace, queue_rule, domain_open };
+  struct iv_owner_effects effects = { .context = task,
+                                      .start = send_start,
+                                      .stop = send_stop,
+                                      .look = send_look,
+                                      .pace = send_pace,
+                                      .queue = queue_rule,
+                                      .domain_open = domain_open,
+                                      .owns_job = owns_job,
+                                      .roomier_cell = roomier_cell,
+                                      .move_job = move_job };
   struct iv_worker_answers answers = { task, on_started, on_stopped, on_looked };
   struct iv_stream_options options = { .topic = IV_TOPIC_WORKERS,
                                        .wait_ms = WORKERS_WAIT_MS,
@@ -334,7 +429,8 @@
                                        .context = task };
   task->claiming = FALSE;
   task->term = task->claim_term;
-  iv_event (IV_LEVEL_INFO, "owner.gained", "term=%" G_GINT64_FORMAT, task->term);
+  iv_event (IV_LEVEL_INFO, "owner.gained", "cell=%u term=%" G_GINT64_FORMAT, task->cell,
+            task->term);
   task->owner = iv_owner_new (task->links.book, task->term, &limits, &effects, iv_cell_now (task),
                               iv_clock_wall_ms ());
   if (task->handover && g_ascii_strtoll (task->handover[0], NULL, 10) == task->replaced_term)
@@ -344,33 +440,32 @@
   task->model_at_ms = iv_cell_now (task) + MODEL_EVERY_MS;
   task->calls = iv_worker_calls_new (task->links.workers, task->links.loop, task->term, &answers);
   task->recorder = iv_recorder_new (task->links.loop, task->links.deadlines, task->links.store,
-                                    IV_TOPIC_JOBS, IV_CELL_WRITER, task->term, RECORD_GATHER_MS, 0);
+                                    IV_TOPIC_JOBS, task->writer, task->term, RECORD_GATHER_MS, 0);
   iv_recorder_set_sequence (task->recorder, task->sequence + 1);
   task->workers
       = iv_stream_new (task->links.loop, task->links.deadlines, task->links.store, &options);
-  iv_stream_set_gap (task->links.jobs, JOBS_GAP_OWNER_MS);
+  iv_stream_set_gap (task->links.jobs,
+                     MIN (JOBS_GAP_OWNER_MS * iv_layout_cells (layout), JOBS_GAP_OWNER_MAX_MS));
   step_after (task, 0);
 }
 
 struct iv_cell_task *
-iv_cell_task_new (const struct iv_cell_links *links)
+iv_cell_task_new (const struct iv_cell_links *links, guint cell)
 {
   struct iv_cell_task *task = g_new0 (struct iv_cell_task, 1);
   task->links = *links;
-  task->member = g_strdup_printf ("%s-%08x", links->host, g_random_int ());
+  task->cell = cell;
+  task->writer = g_strdup_printf ("owner%u", cell);
   task->incumbent = g_strdup ("");
-  task->join.fire = iv_cell_join;
-  task->join.context = task;
   task->step.fire = on_step;
   task->step.context = task;
-  iv_deadline_set (links->deadlines, &task->join, iv_cell_now (task));
   return task;
 }
 
 void
 iv_cell_task_changed (struct iv_cell_task *task, struct iv_job *job)
 {
-  if (task->owner == NULL)
+  if (task == NULL || task->owner == NULL)
     return;
   if (job)
     iv_owner_job (task->owner, job, iv_cell_now (task));
@@ -380,8 +475,15 @@
 }
 
 void
-iv_cell_task_model (struct iv_cell_task *task, const guint8 *value, gsize len)
+iv_cell_task_model (struct iv_cell_task *task, guint cell, const guint8 *value, gsize len)
 {
+  if (cell != task->cell)
+    {
+      /* Images are the same in every cell. */
+      if (task->owner)
+        iv_owner_load_model (task->owner, value, len, iv_cell_now (task));
+      return;
+    }
   if (task->model)
     g_byte_array_free (task->model, TRUE);
   task->model = g_byte_array_new ();
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -1,13 +1,14 @@
 /**
  * @file cell_task.h
- * Owns a cell while the store says so: joins the group of its candidates, fences the former owner
- * in the stream, then wires the owner's decisions to workers and records.
+ * Owns a cell while the store says so: claims it when its partition is held here and its owner has
+ * left, fences the former owner in the stream, then wires the owner's decisions to workers and
+ * records.
  */
 #ifndef IV_CELL_TASK_H
 #define IV_CELL_TASK_H
 
-#include "settings.h"
-#include "store.h"
+#include "layout.h"
+#include "membership.h"
 #include "stream.h"
 #include "wire.h"
 
@@ -21,16 +22,23 @@
   struct iv_stream *jobs;
   struct iv_stream *operators; /**< configuration and domains out of service */
   struct iv_book *book;
-  const char *host;
+  struct iv_membership *membership;
   const struct iv_fleet_settings *settings;
   void *context;
+  const struct iv_layout *(*layout) (void *context); /**< NULL while it is not known */
   const struct iv_routes *(*routes) (void *context);
   gboolean (*domain_open) (void *context, const char *domain);
+  /** Another cell than @a cell that has much more room than @a cpu_milli; -1: there is none. */
+  gint (*roomier_cell) (void *context, guint cell, gint64 cpu_milli, gboolean fills);
 };
 
 struct iv_cell_task;
 
-struct iv_cell_task *iv_cell_task_new (const struct iv_cell_links *links);
+/** Create the task of the cell with the number @a cell. */
+struct iv_cell_task *iv_cell_task_new (const struct iv_cell_links *links, guint cell);
+
+/** The store confirmed this host as a member. */
+void iv_cell_task_confirmed (struct iv_cell_task *task);
 
 /** A record of @a job was folded, or routes or domains changed (@a job NULL). */
 void iv_cell_task_changed (struct iv_cell_task *task, struct iv_job *job);
@@ -41,8 +49,8 @@
 /** The word of an owner that ended in good order was folded: its term and its unsure workers. */
 void iv_cell_task_handover (struct iv_cell_task *task, const char *value, gsize len);
 
-/** What an owner learnt of pairs of images was folded. */
-void iv_cell_task_model (struct iv_cell_task *task, const guint8 *value, gsize len);
+/** What the owner of @a cell learnt of pairs of images was folded. */
+void iv_cell_task_model (struct iv_cell_task *task, guint cell, const guint8 *value, gsize len);
 
 /** Whether this host owns the cell. */
 gboolean iv_cell_task_owns (const struct iv_cell_task *task);
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "event.h"
 #include "front_task.h"
+#include "layout_task.h"
 #include "names.h"
 
 #include <string.h>
@@ -13,14 +14,23 @@
 #define OPERATORS_WAIT_MS 1000  /* a read that waits longer hides a silent connection */
 #define OPERATORS_GAP_MS 50
 #define JOBS_WAIT_MS 1000
-#define JOBS_GAP_MS 250
+#define JOBS_GAP_MS 500 /* states are told as last read; a bound of the platform is seconds */
 #define ACCEPT_GATHER_MS 2
 #define ACCEPT_DOUBT_MS 2500  /* callers wait about this long */
 #define LEAVE_UNREADY_MS 2500 /* the balancer needs two misses, a second apart */
 #define LEAVE_TICK_MS 50
+#define LOAD_VALID_MS 2000 /* cells tell their room every half second */
+#define ROOM_TIMES 3       /* as much room as a job needs: others may be on their way */
 #define SWEEP_EVERY_MS 5000
 #define KEEP_MARGIN_MS 30000 /* hosts' clocks differ, by seconds at worst */
 
+/* How much room a cell had, and when that was folded. */
+struct cell_load
+{
+  struct iv_cell_room room;
+  gint64 at_ms; /* 0: never */
+};
+
 struct iv_fleet_app
 {
   uv_loop_t *loop;
@@ -33,7 +43,10 @@
   struct iv_stream *jobs;
   struct iv_stream *operators;
   struct iv_recorder *recorder;
-  struct iv_cell_task *cell;
+  struct iv_membership *membership;
+  struct iv_layout_task *layout;
+  struct iv_cell_task *cells[IV_CELLS_MAX];
+  struct cell_load loads[IV_CELLS_MAX];
   struct iv_front_task *front;
   struct iv_deadline tick;
   struct iv_deadline sweep;
@@ -55,36 +68,112 @@
   return !g_hash_table_contains (((struct iv_fleet_app *)context)->closed_domains, domain);
 }
 
+static const struct iv_layout *
+layout_of (void *context)
+{
+  return iv_layout_task_layout (((struct iv_fleet_app *)context)->layout);
+}
+
+/* The cell with the most room, taken for used by @a cpu_milli until it tells anew. */
+static gint
+roomier_cell (void *context, guint cell, gint64 cpu_milli, gboolean fills)
+{
+  struct iv_fleet_app *app = context;
+  gint64 oldest_ms = (gint64)uv_now (app->loop) - LOAD_VALID_MS;
+  gint64 most = cpu_milli * ROOM_TIMES;
+  gint best = -1;
+  for (guint i = 0; i < iv_layout_cells (layout_of (app)); i++)
+    {
+      const struct cell_load *load = &app->loads[i];
+      gint64 room = fills ? load->room.fill_milli : load->room.free_milli;
+      if (i == cell || load->at_ms == 0 || load->at_ms < oldest_ms || room <= most)
+        continue;
+      best = (gint)i;
+      most = room;
+    }
+  if (best >= 0)
+    {
+      app->loads[best].room.free_milli -= cpu_milli;
+      app->loads[best].room.fill_milli -= cpu_milli;
+    }
+  return best;
+}
+
 static void
 on_job_changed (void *context, struct iv_job *job)
 {
   struct iv_fleet_app *app = context;
-  iv_cell_task_changed (app->cell, job);
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_changed (app->cells[i], job);
 }
 
 static void
-fold_job (void *context, const char *key, const guint8 *value, gsize len)
+fold_load (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
 {
-  struct iv_fleet_app *app = context;
-  if (strcmp (key, IV_KEY_OWNER) == 0)
-    {
-      if (value)
-        iv_cell_task_claimed (app->cell, (const char *)value, len);
-      return;
-    }
-  if (strcmp (key, IV_KEY_HANDOVER) == 0)
+  char *text = g_strndup ((const char *)value, len);
+  char *rest;
+  app->loads[cell].room.free_milli = g_ascii_strtoll (text, &rest, 10);
+  app->loads[cell].room.fill_milli = g_ascii_strtoll (rest, NULL, 10);
+  app->loads[cell].at_ms = (gint64)uv_now (app->loop);
+  g_free (text);
+}
+
+static void
+fold_claim (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
+{
+  iv_cell_task_claimed (app->cells[cell], (const char *)value, len);
+}
+
+static void
+fold_handover (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
+{
+  iv_cell_task_handover (app->cells[cell], (const char *)value, len);
+}
+
+static void
+fold_model (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
+{
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_model (app->cells[i], cell, value, len);
+}
+
+/* Records of a cell have a key that ends with its number. FALSE when @a key is none of these. */
+static gboolean
+fold_cell_record (struct iv_fleet_app *app, const char *key, const guint8 *value, gsize len)
+{
+  static const struct
+  {
+    const char *prefix;
+    void (*fold) (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len);
+  } kinds[] = { { IV_KEY_OWNER, fold_claim },
+                { IV_KEY_HANDOVER, fold_handover },
+                { IV_KEY_MODEL, fold_model },
+                { IV_KEY_LOAD, fold_load } };
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
     {
-      if (value)
-        iv_cell_task_handover (app->cell, (const char *)value, len);
-      return;
+      guint64 cell;
+      if (!g_str_has_prefix (key, kinds[i].prefix))
+        continue;
+      if (value
+          && g_ascii_string_to_unsigned (key + strlen (kinds[i].prefix), 10, 0, IV_CELLS_MAX - 1,
+                                         &cell, NULL))
+        kinds[i].fold (app, (guint)cell, value, len);
+      return TRUE;
     }
-  if (strcmp (key, IV_KEY_MODEL) == 0)
+  return FALSE;
+}
+
+static void
+fold_job (void *context, const char *key, const guint8 *value, gsize len)
+{
+  struct iv_fleet_app *app = context;
+  if (strcmp (key, IV_KEY_LAYOUT) == 0)
     {
       if (value)
-        iv_cell_task_model (app->cell, value, len);
-      return;
+        iv_layout_task_fold (app->layout, (const char *)value, len);
     }
-  if (iv_book_fold (app->book, key, value, len) != IV_OK)
+  else if (!fold_cell_record (app, key, value, len)
+           && iv_book_fold (app->book, key, value, len) != IV_OK)
     iv_event (IV_LEVEL_WARNING, "record.ignored", "key=%s reason=%s", iv_quote (key),
               iv_quote (iv_last_message ()));
 }
@@ -123,8 +212,8 @@
     fold_config (app, value, len);
   else if (g_str_has_prefix (key, IV_KEY_DOMAIN_OUT))
     fold_evacuation (app, key + strlen (IV_KEY_DOMAIN_OUT), value != NULL);
-  if (app->cell)
-    iv_cell_task_changed (app->cell, NULL);
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_changed (app->cells[i], NULL);
 }
 
 static void
@@ -145,7 +234,36 @@
 }
 
 static void
-start_cell (struct iv_fleet_app *app)
+on_confirmed (void *context)
+{
+  struct iv_fleet_app *app = context;
+  iv_layout_task_confirmed (app->layout);
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_confirmed (app->cells[i]);
+}
+
+static void
+start_membership (struct iv_fleet_app *app)
+{
+  struct iv_membership_links member = { .loop = app->loop,
+                                        .deadlines = app->deadlines,
+                                        .store = app->store,
+                                        .host = app->settings->host,
+                                        .settings = &app->settings->fleet,
+                                        .context = app,
+                                        .confirmed = on_confirmed };
+  struct iv_layout_links layout = { .loop = app->loop,
+                                    .deadlines = app->deadlines,
+                                    .store = app->store,
+                                    .jobs = app->jobs,
+                                    .settings = &app->settings->fleet };
+  app->membership = iv_membership_new (&member);
+  layout.membership = app->membership;
+  app->layout = iv_layout_task_new (&layout);
+}
+
+static void
+start_cells (struct iv_fleet_app *app)
 {
   struct iv_cell_links links = { .loop = app->loop,
                                  .deadlines = app->deadlines,
@@ -153,13 +271,16 @@
                                  .jobs = app->jobs,
                                  .operators = app->operators,
                                  .book = app->book,
-                                 .host = app->settings->host,
+                                 .membership = app->membership,
                                  .settings = &app->settings->fleet,
                                  .context = app,
+                                 .layout = layout_of,
                                  .routes = routes_of,
-                                 .domain_open = domain_open };
+                                 .domain_open = domain_open,
+                                 .roomier_cell = roomier_cell };
   links.workers = iv_http_client_new (app->loop, app->deadlines, CALL_SILENCE_MS, 4 * MIB);
-  app->cell = iv_cell_task_new (&links);
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    app->cells[i] = iv_cell_task_new (&links, i);
   iv_book_watch (app->book, on_job_changed, app);
 }
 
@@ -192,6 +313,13 @@
     g_ptr_array_add (old, job);
 }
 
+static gboolean
+owns_cell_of (struct iv_fleet_app *app, const struct iv_job *job)
+{
+  const struct iv_layout *layout = layout_of (app);
+  return layout && iv_cell_task_owns (app->cells[iv_layout_job_cell (layout, job)]);
+}
+
 /* Ended jobs are told of for a while, then their keys are dropped by the owner. */
 static void
 on_sweep (void *context)
@@ -205,12 +333,13 @@
   for (guint i = 0; i < old->len; i++)
     {
       const struct iv_job *job = g_ptr_array_index (old, i);
-      static const char *const parts[] = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL };
-      for (guint j = 0; iv_cell_task_owns (app->cell) && j < G_N_ELEMENTS (parts); j++)
+      static const char *const parts[] = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE };
+      const gboolean used[] = { TRUE, TRUE, job->cancel, job->moved_to >= 0 };
+      for (guint j = 0; owns_cell_of (app, job) && j < G_N_ELEMENTS (parts); j++)
         {
           char key[IV_JOB_ID_LEN + 8];
           g_snprintf (key, sizeof key, "%s%s", job->id, parts[j]);
-          if (j < 2 || job->cancel)
+          if (used[j])
             iv_recorder_add (app->recorder, key, NULL, 0, NULL, NULL);
         }
       iv_book_remove (app->book, job->id);
@@ -232,7 +361,8 @@
   client = iv_http_client_new (loop, app->deadlines, CALL_SILENCE_MS, 16 * MIB);
   app->store = iv_store_new (client, settings->platform.address);
   start_streams (app);
-  start_cell (app);
+  start_membership (app);
+  start_cells (app);
   if (!start_front (app))
     return NULL;
   app->sweep.fire = on_sweep;
@@ -268,7 +398,9 @@
     return;
   app->leaving = TRUE;
   iv_event (IV_LEVEL_INFO, "host.leaving", "pending=%u", iv_front_task_pending (app->front));
-  iv_cell_task_resign (app->cell);
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_resign (app->cells[i]);
+  iv_membership_leave (app->membership);
   iv_front_task_unready (app->front);
   app->stop_ms = now + MIN (LEAVE_UNREADY_MS, app->settings->fleet.grace_ms / 2);
   app->give_up_ms = now + app->settings->fleet.grace_ms;
--- /dev/null
+++ b/daemon/membership.h
@@ -0,0 +1,58 @@
+/**
+ * @file membership.h
+ * This host as a candidate for owning cells: a member of one group of the store, which deals its
+ * partitions among the members. Whoever holds the partition of a cell may replace its owner.
+ *
+ * A small host stays in reserve: it joins only while there are too few members.
+ */
+#ifndef IV_MEMBERSHIP_H
+#define IV_MEMBERSHIP_H
+
+#include "deadlines.h"
+#include "settings.h"
+#include "store.h"
+
+/** Called after each answer of the store that confirmed this member. */
+typedef void (*iv_membership_confirmed) (void *context);
+
+/** What it uses of its process. */
+struct iv_membership_links
+{
+  uv_loop_t *loop;
+  struct iv_deadlines *deadlines;
+  struct iv_store *store;
+  const char *host;
+  const struct iv_fleet_settings *settings;
+  void *context;
+  iv_membership_confirmed confirmed;
+};
+
+/** One life of this host as a member. */
+struct iv_membership;
+
+struct iv_membership *iv_membership_new (const struct iv_membership_links *links);
+
+/** Name of this life; no other has it. */
+const char *iv_membership_name (const struct iv_membership *membership);
+
+/** Whether this host held the partition of @a cell when it was last confirmed. */
+gboolean iv_membership_holds (const struct iv_membership *membership, guint cell);
+
+/** Newest number of the group; it grows with every change of its members. */
+gint64 iv_membership_generation (const struct iv_membership *membership);
+
+/** Milliseconds, time of suspension included, since the newest join that the store confirmed was
+ *  sent: others replace a member that is silent for longer than its time to live. */
+gint64 iv_membership_unconfirmed_ms (const struct iv_membership *membership);
+
+/** The fleet has so many cells: reserves join while fewer hosts than it needs are members. */
+void iv_membership_expect_cells (struct iv_membership *membership, guint cells);
+
+/** Read all members that hold something. */
+void iv_membership_list (struct iv_membership *membership, iv_store_members_done done,
+                         void *context);
+
+/** Leave for good. */
+void iv_membership_leave (struct iv_membership *membership);
+
+#endif
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -248,7 +248,7 @@
 {
   struct outcome *outcome = context;
   outcome->done = TRUE;
-  outcome->status = membership->holds ? IV_OK : IV_ERR_CONFLICT;
+  outcome->status = (membership->partitions & 1) ? IV_OK : IV_ERR_CONFLICT;
   outcome->end = membership->generation;
 }
 
@@ -257,14 +257,14 @@
 {
   struct outcome a = { 0 }, b = { 0 }, c = { 0 };
   gint64 deadline = (gint64)uv_now (loop) + WAIT_MS;
-  iv_store_join (store, "cell0", "x", 1000, 0, deadline, on_joined, &a);
+  iv_store_join (store, "cells", "x", 1000, 0, deadline, on_joined, &a);
   run_until_done (&a);
-  iv_store_join (store, "cell0", "y", 1000, 0, deadline, on_joined, &b);
+  iv_store_join (store, "cells", "y", 1000, 0, deadline, on_joined, &b);
   run_until_done (&b);
   assert_int_equal (a.status, IV_OK);
   assert_int_equal (b.status, IV_ERR_CONFLICT);
   assert_true (b.end > a.end);
-  iv_store_members (store, "cell0", deadline, on_members, &c);
+  iv_store_members (store, "cells", deadline, on_members, &c);
   run_until_done (&c);
   assert_int_equal (c.end, 2);
 }
--- a/jobs/book.c
+++ b/jobs/book.c
@@ -52,6 +52,7 @@
     return job;
   job = g_new0 (struct iv_job, 1);
   g_strlcpy (job->id, id, sizeof job->id);
+  job->moved_to = -1;
   g_hash_table_insert (book->jobs, job->id, job);
   return job;
 }
@@ -120,6 +121,19 @@
   return IV_OK;
 }
 
+static enum iv_status
+fold_move (struct iv_job *job, const guint8 *value, gsize len)
+{
+  char *text = g_strndup ((const char *)value, len);
+  guint64 cell = 0;
+  gboolean ok = g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT, &cell, NULL);
+  g_free (text);
+  if (!ok)
+    return iv_fail (IV_ERR_INVALID, "the record names no cell");
+  job->moved_to = (gint)cell;
+  return IV_OK;
+}
+
 enum iv_status
 iv_book_fold (struct iv_book *book, const char *key, const guint8 *value, gsize len)
 {
@@ -143,6 +157,8 @@
     status = fold_progress (job, value, len);
   else if (strcmp (part, IV_KEY_CANCEL) == 0)
     job->cancel = TRUE;
+  else if (strcmp (part, IV_KEY_MOVE) == 0)
+    status = fold_move (job, value, len);
   if (status == IV_OK && job->accepted && book->changed)
     book->changed (book->context, job);
   return status;
--- a/jobs/book.h
+++ b/jobs/book.h
@@ -2,10 +2,11 @@
  * @file book.h
  * Every job that the system has accepted, folded from keyed records.
  *
- * A job has up to three keys: its id (what was asked, written by the host that accepted it), the
- * id with IV_KEY_PROGRESS (how far it is, written by the owner alone) and the id with
- * IV_KEY_CANCEL (written by the host that took the cancellation). The newest value of a key holds
- * all of it, so folding a record twice changes nothing.
+ * A job has up to four keys: its id (what was asked, written by the host that accepted it), the
+ * id with IV_KEY_PROGRESS (how far it is, written by the owner alone), the id with IV_KEY_CANCEL
+ * (written by the host that took the cancellation) and the id with IV_KEY_MOVE (written by the
+ * owner of the cell that it leaves). The newest value of a key holds all of it, so folding a record
+ * twice changes nothing.
  */
 #ifndef IV_BOOK_H
 #define IV_BOOK_H
@@ -16,10 +17,13 @@
 
 #define IV_KEY_PROGRESS "+p"
 #define IV_KEY_CANCEL "+x"
-#define IV_KEY_MODEL "model"       /**< what the owner learnt of pairs of images */
-#define IV_KEY_HANDOVER "handover" /**< of an owner that ended in good order */
-#define IV_KEY_OWNER "owner"       /**< claim of the cell's owner, beside the jobs */
-#define IV_RECORD_MAX 200000       /**< bytes of one record; below the platform's bound */
+#define IV_KEY_MOVE "+m"            /**< the cell that serves the job from now on */
+#define IV_KEY_LAYOUT "layout"      /**< how the fleet is dealt to cells */
+#define IV_KEY_MODEL "model/"       /**< and a cell: what its owner learnt of pairs of images */
+#define IV_KEY_HANDOVER "handover/" /**< and a cell: word of an owner that ended in good order */
+#define IV_KEY_OWNER "owner/"       /**< and a cell: claim of its owner */
+#define IV_KEY_LOAD "load/"         /**< and a cell: how much room it has */
+#define IV_RECORD_MAX 200000        /**< bytes of one record; below the platform's bound */
 
 /** A job as the records tell it. */
 struct iv_job
@@ -27,6 +31,7 @@
   char id[IV_JOB_ID_LEN + 1];
   gboolean accepted; /**< `spec` is set */
   gboolean cancel;   /**< its cancellation was recorded */
+  gint moved_to;     /**< the cell that it was moved to; -1: none */
   ivj_job spec;
   ivj_progress progress; /**< as recorded: what callers are told */
   enum ivj_state live;   /**< the owner's; it runs ahead of what is recorded */
--- /dev/null
+++ b/jobs/moves.c
@@ -0,0 +1,83 @@
+#include "owner_private.h"
+
+#include "event.h"
+#include "sharing.h"
+
+#define MOVES_EVERY_MS 250
+#define WAITED_MS 400 /* other cells are told how full they are every half second */
+
+void
+iv_owner_room (const struct iv_owner *owner, struct iv_cell_room *room)
+{
+  GHashTableIter iter;
+  gpointer value;
+  *room = (struct iv_cell_room){ 0 };
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct iv_fleet_worker *worker = value;
+      if (!worker->listed || !worker->fenced || worker->draining || worker->failures > 0
+          || !owner->effects.domain_open (owner->effects.context, worker->domain))
+        continue;
+      room->free_milli += worker->room.cpu_milli - worker->used.cpu_milli;
+      room->fill_milli += MAX (0, iv_sharing_leftover (worker));
+    }
+}
+
+/* Nobody has started, or can have started, a task of it. */
+static gboolean
+is_untouched (const struct iv_owner *owner, const struct iv_work *work)
+{
+  return !work->begun && work->placed == 0 && (owner->settled || !work->inherited);
+}
+
+/* Cores of the first step that waits; 0 when none does. */
+static gint64
+waiting_milli (const struct iv_work *work, gboolean *fills)
+{
+  for (guint i = 0; i < work->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (work->open, i);
+      for (guint j = 0; j < work->job->spec.steps.steps_len; j++)
+        {
+          const struct iv_stage *stage = &occurrence->stages[j];
+          if (!iv_stage_ready (occurrence, stage))
+            continue;
+          *fills = (stage->step->flags & IVJ_FILLS) != 0;
+          return (gint64)stage->step->cpu_milli * stage->step->count;
+        }
+    }
+  return 0;
+}
+
+static gboolean
+move_if_roomier (struct iv_owner *owner, struct iv_work *work)
+{
+  struct iv_job *job = work->job;
+  gboolean fills = FALSE;
+  gint64 need = waiting_milli (work, &fills);
+  gint cell = need > 0 ? owner->effects.roomier_cell (owner->effects.context, need, fills) : -1;
+  if (cell < 0)
+    return FALSE;
+  iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%d need_milli=%" G_GINT64_FORMAT, job->id, cell,
+            need);
+  g_ptr_array_remove_fast (owner->works, work);
+  g_ptr_array_remove_fast (owner->dirty, job);
+  iv_work_free (work);
+  owner->effects.move_job (owner->effects.context, job, (guint)cell);
+  return TRUE;
+}
+
+void
+iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms)
+{
+  if (now_ms < owner->moves_at_ms)
+    return;
+  owner->moves_at_ms = now_ms + MOVES_EVERY_MS;
+  for (guint i = owner->works->len; i-- > 0;)
+    {
+      struct iv_work *work = g_ptr_array_index (owner->works, i);
+      if (is_untouched (owner, work) && now_ms > work->first_seen_ms + WAITED_MS)
+        move_if_roomier (owner, work);
+    }
+}
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -49,7 +49,9 @@
 static void
 forget_live (void *context, struct iv_job *job)
 {
-  job->live = IVJ_QUEUED;
+  const struct iv_owner *owner = context;
+  if (owner->effects.owns_job (owner->effects.context, job))
+    job->live = IVJ_QUEUED;
 }
 
 void
@@ -57,7 +59,7 @@
 {
   if (owner == NULL)
     return;
-  iv_book_each (owner->book, forget_live, NULL);
+  iv_book_each (owner->book, forget_live, owner);
   iv_fleet_free (owner->fleet);
   iv_interference_free (owner->model);
   g_hash_table_destroy (owner->unsure);
@@ -233,6 +235,8 @@
 iv_owner_job (struct iv_owner *owner, struct iv_job *job, gint64 now_ms)
 {
   struct iv_work *work = job->work;
+  if (!owner->effects.owns_job (owner->effects.context, job))
+    return;
   if (work == NULL)
     {
       if (iv_state_ended (job->progress.state) || iv_state_ended (job->live))
@@ -422,6 +426,8 @@
       = MIN (owner->limits.start_ms, owner->limits.evidence_ms - leave->evidence_age_ms);
   if (owner->start_ms >= START_LEAST_MS && owner->listed)
     iv_owner_dispatch (owner, now_ms);
+  if (leave->confirmed)
+    iv_owner_move_jobs (owner, now_ms);
   step_workers (owner, leave->confirmed, now_ms);
   iv_owner_log_load (owner, now_ms);
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -111,6 +111,21 @@
   gboolean (*queue) (void *context, const char *host, const char *prefix,
                      struct iv_queue_rule *rule);
   gboolean (*domain_open) (void *context, const char *domain);
+  /** Whether @a job belongs to this cell. */
+  gboolean (*owns_job) (void *context, const struct iv_job *job);
+  /** Another cell with much more room than @a cpu_milli, for tasks that need room or fill; -1:
+   * none.
+   */
+  gint (*roomier_cell) (void *context, gint64 cpu_milli, gboolean fills);
+  /** Record that @a cell serves @a job from now on. */
+  void (*move_job) (void *context, const struct iv_job *job, guint cell);
+};
+
+/** Cores that are free in a cell, in thousandths. */
+struct iv_cell_room
+{
+  gint64 free_milli; /**< for tasks that need room */
+  gint64 fill_milli; /**< for tasks that fill */
 };
 
 struct iv_owner;
@@ -183,12 +198,15 @@
 /** What was learnt of pairs of images, as a record for the next owner; NULL when nothing was. */
 GByteArray *iv_owner_save_model (const struct iv_owner *owner, gint64 now_ms);
 
-/** Take over what a former owner learnt. */
+/** Take over what another owner learnt where it is surer. */
 void iv_owner_load_model (struct iv_owner *owner, const guint8 *bytes, gsize len, gint64 now_ms);
 
 /** Whether so many workers are silent that this host is likely cut off rather than they. */
 gboolean iv_owner_cut_off (const struct iv_owner *owner);
 
+/** Count what is free now. */
+void iv_owner_room (const struct iv_owner *owner, struct iv_cell_room *room);
+
 /** Worker by id, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -29,6 +29,7 @@
   gboolean inheriting;   /**< the jobs of the book are being taken over */
   gboolean changed;      /**< something was freed or came: place again */
   gint64 dispatch_at_ms; /**< place again even if nothing changed */
+  gint64 moves_at_ms;    /**< when to look for jobs to move next */
   GPtrArray *works;      /**< of struct iv_work: jobs that are not over */
   GPtrArray *dirty;      /**< of struct iv_job */
   guint64 record;        /**< number of the newest collection */
@@ -63,6 +64,9 @@
 /** Note that the progress of @a work is to be recorded. */
 void iv_owner_mark (struct iv_owner *owner, struct iv_work *work);
 
+/** Send jobs that find no place here to a cell with more room: moves.c. */
+void iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms);
+
 /** Start what can be started: dispatch.c. */
 void iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/sharing.c
+++ b/jobs/sharing.c
@@ -247,8 +247,10 @@
     {
       const ivj_pair *pair = &model.pairs.pairs_val[i];
       struct iv_pair_estimate estimate = { pair->mean, pair->variance, 1 };
-      iv_interference_set (owner->model, iv_interference_workload (owner->model, pair->victim),
-                           iv_interference_workload (owner->model, pair->other), &estimate, now_ms);
+      guint32 victim = iv_interference_workload (owner->model, pair->victim);
+      guint32 other = iv_interference_workload (owner->model, pair->other);
+      if (iv_interference_pair (owner->model, victim, other, now_ms).variance > pair->variance)
+        iv_interference_set (owner->model, victim, other, &estimate, now_ms);
     }
   iv_event (IV_LEVEL_INFO, "model.loaded", "pairs=%u", model.pairs.pairs_len);
   xdr_free ((xdrproc_t)xdr_ivj_model, (char *)&model);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -428,11 +428,42 @@
   iv_owner_list_read (bench->owner);
 }
 
+static gboolean
+on_owns_job (void *context, const struct iv_job *job)
+{
+  return job->moved_to < 0;
+}
+
+static gint
+on_roomier_cell (void *context, gint64 cpu_milli, gboolean fills)
+{
+  struct bench *bench = context;
+  return bench->elsewhere_milli > cpu_milli ? 1 : -1;
+}
+
+static void
+on_move_job (void *context, const struct iv_job *job, guint cell)
+{
+  struct bench *bench = context;
+  char key[IV_JOB_ID_LEN + 8];
+  g_snprintf (key, sizeof key, "%s" IV_KEY_MOVE, job->id);
+  bench->moved++;
+  iv_book_fold (bench->book, key, (const guint8 *)(cell == 1 ? "1" : "2"), 1);
+}
+
 void
 bench_own (struct bench *bench)
 {
-  struct iv_owner_effects effects
-      = { bench, on_start, on_stop, on_look, on_pace, on_queue, on_domain_open };
+  struct iv_owner_effects effects = { .context = bench,
+                                      .start = on_start,
+                                      .stop = on_stop,
+                                      .look = on_look,
+                                      .pace = on_pace,
+                                      .queue = on_queue,
+                                      .domain_open = on_domain_open,
+                                      .owns_job = on_owns_job,
+                                      .roomier_cell = on_roomier_cell,
+                                      .move_job = on_move_job };
   iv_owner_free (bench->owner);
   bench->term++;
   bench->owner = iv_owner_new (bench->book, bench->term, &bench->limits, &effects, bench->now_ms,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -56,9 +56,11 @@
   gint64 wall_ms;
   gint64 evidence_age_ms;
   gboolean confirmed;
-  gboolean stored;   /**< records are stored */
-  gboolean stuck;    /**< nothing makes progress */
-  gboolean closed_a; /**< domain "a" is out of service */
+  gboolean stored;        /**< records are stored */
+  gboolean stuck;         /**< nothing makes progress */
+  gboolean closed_a;      /**< domain "a" is out of service */
+  gint64 elsewhere_milli; /**< room in another cell */
+  guint moved;
   guint attempts;
   GPtrArray *calls; /**< of struct bench_call */
   guint started;
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -700,6 +700,43 @@
   bench_free (bench);
 }
 
+/* A job that finds no place goes to a cell with room, and is started here no more. */
+static void
+test_job_without_a_place_moves (void **state)
+{
+  struct bench *bench = bench_new (1);
+  bench_own (bench);
+  make_job (2, 0);
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 100);
+  bench->elsewhere_milli = 100000;
+  bench_submit (bench, OTHER, &spec);
+  bench_run_for (bench, 1000);
+  assert_int_equal (bench->moved, 1);
+  bench_end_all (bench, IV_END_DONE);
+  bench_run_for (bench, 1000);
+  assert_int_equal (bench->started, 2);
+  bench_free (bench);
+}
+
+/* What may run here is moved nowhere. */
+static void
+test_begun_or_unsure_jobs_stay (void **state)
+{
+  struct bench *bench = bench_new (2);
+  bench_own (bench);
+  make_job (8, 0);
+  bench_submit (bench, JOB, &spec);
+  bench->elsewhere_milli = 100000;
+  bench_run_for (bench, 1000);
+  assert_int_equal (bench_total (bench), 4);
+  bench->workers[0].silent = TRUE;
+  bench_own (bench);
+  bench_run_for (bench, 2000);
+  assert_int_equal (bench->moved, 0);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -737,6 +774,8 @@
     cmocka_unit_test (test_silent_domain_counts_as_cut_off),
     cmocka_unit_test (test_one_silent_domain_of_many_counts_as_cut_off),
     cmocka_unit_test (test_fillers_yield_to_tails),
+    cmocka_unit_test (test_job_without_a_place_moves),
+    cmocka_unit_test (test_begun_or_unsure_jobs_stay),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -112,6 +112,8 @@
   gint64 hold_cut_ms;   /**< the same, while many workers are silent to it as well */
   gint64 horizon_ms;    /**< nothing of a former owner runs on a silent worker after it */
   gint64 member_ttl_ms; /**< a candidate that is silent for longer has left */
+  gint64 cpu_milli;     /**< of a core, that this host has */
+  gint64 core_workers;  /**< a cell has about as many workers as a host's cores carry */
   gint64 grace_ms;      /**< for a planned stop */
   gint64 keep_ms;       /**< for which the state of an ended job is told */
 };
