Slow who harms a tail to what the tail permits, at once; leave the others alone

Cause: fillers went down and up by quarters of their speed, one step a look, on the measured tail: too late when load rose, for too long after it fell; a halted one was moved after 0.2 s, though a move costs 0.3 to 1 s. Change: the pace follows from the model (calm tail, harm of those to blame), limit 0.95 of the target; learning goes by the use that the same list tells; halted for 0.5 s before a move.

--- a/jobs/sharing.c
+++ b/jobs/sharing.c
@@ -5,14 +5,16 @@
 #include <string.h>
 
 #define PACE_FULL 100
-#define PACE_STEP 25
-#define TAIL_SLOW 0.90 /* of the target: who harms it is slowed down */
-#define TAIL_HALT 1.00 /* of the target: who harms it is halted */
-#define TAIL_RELEASE 0.70
-#define OVER_MS 1200     /* over its target for this long, whoever is to blame */
-#define HARM_MIN 0.02    /* added tail, of the calm one, below which a neighbour is not to blame */
-#define HALTED_MS 200    /* a halted task that saves its progress is moved after this long */
-#define CALM_GAIN 0.4    /* of a new observation of an undisturbed tail */
+#define PACE_STEP 10
+#define PACE_LEAST 20   /* below it a task is halted: it would take its room for next to nothing */
+#define TAIL_LIMIT 0.95 /* of the target: tails are kept below it by slowing who harms them */
+#define OVER_MS 1200    /* over its target for this long, whoever is to blame */
+#define HARM_BLAMED                                                                                \
+  1.0                  /* added tail by a whole host's worth: most pairs are near 0.2, or above 4 */
+#define HARM_MIN 0.02  /* added tail, of the calm one, below which a neighbour is not to blame */
+#define HALTED_MS 500  /* a halted task that saves its progress is moved after this long */
+#define USED_PART 0.85 /* of what a task that fills declares, where its use is not known */
+#define CALM_GAIN 0.4  /* of a new observation of an undisturbed tail */
 #define CALM_DOUBT 10.0  /* per share of the host in use by neighbours */
 #define SERVING_USE 0.50 /* of what tasks that serve declare; they are sized for their peak */
 #define CAUTION 0.5      /* standard deviations of the harm of a pair */
@@ -41,11 +43,21 @@
   return run->step && (run->step->flags & IVJ_FILLS) && run->phase != IV_PHASE_STOPPING;
 }
 
+/* Share of its host that @a run takes at full speed. */
+static double
+full_share (const struct iv_run *run)
+{
+  return USED_PART * (double)run->step->cpu_milli / (double)MAX (run->worker->room.cpu_milli, 1);
+}
+
+/* Share of its host that @a run takes now; the use that a worker lists covers the same time as the
+   tails that it lists. */
 static double
 share_of (const struct iv_run *run)
 {
-  return (double)run->step->cpu_milli * run->pace_sent / PACE_FULL
-         / (double)MAX (run->worker->room.cpu_milli, 1);
+  if (run->figure > 0 && run->percent > 0)
+    return (double)run->figure / (double)MAX (run->worker->room.cpu_milli, 1);
+  return full_share (run) * run->pace_sent / PACE_FULL;
 }
 
 static double
@@ -135,37 +147,53 @@
   owner->effects.pace (owner->effects.context, run->worker, &run->name, run->number, pace);
 }
 
-/* How near to its target the worst victim of @a run is; 0 when it harms nobody. */
+/* Whether @a run is among those who are slowed for the sake of @a victim. */
+static gboolean
+is_to_blame (const struct iv_owner *owner, const struct iv_run *run, const struct iv_run *victim,
+             gint64 now_ms)
+{
+  return iv_interference_pair (owner->model, victim->workload, run->workload, now_ms).mean
+         > HARM_BLAMED;
+}
+
+/* Percent of its speed at which @a run, and whoever else is to blame, keep the tail of @a victim in
+   its limit. */
 static double
-worst_victim (const struct iv_owner *owner, const struct iv_run *run, gint64 now_ms)
+pace_beside (const struct iv_owner *owner, const struct iv_run *run, const struct iv_run *victim,
+             gint64 now_ms)
 {
-  double worst = 0;
-  double share = (double)run->step->cpu_milli / (double)MAX (run->worker->room.cpu_milli, 1);
-  for (guint i = 0; i < run->worker->runs->len; i++)
+  double blamed = 0;
+  double others = 0;
+  if (victim->over_ms > 0 && now_ms >= victim->over_ms + OVER_MS)
+    return 0;
+  if (victim->calm <= 0 || !is_to_blame (owner, run, victim, now_ms))
+    return PACE_FULL;
+  for (guint i = 0; i < victim->worker->runs->len; i++)
     {
-      const struct iv_run *victim = g_ptr_array_index (run->worker->runs, i);
-      double ratio;
-      if (!serves (victim))
+      const struct iv_run *other = g_ptr_array_index (victim->worker->runs, i);
+      double added;
+      if (!fills (other))
         continue;
-      ratio = (double)victim->figure / victim->step->target_ms;
-      if (victim->over_ms > 0 && now_ms >= victim->over_ms + OVER_MS)
-        return MAX (ratio, TAIL_HALT);
-      if (ratio > worst && harm (owner, victim->workload, run->workload, share, now_ms) > HARM_MIN)
-        worst = ratio;
+      added = harm (owner, victim->workload, other->workload, full_share (other), now_ms);
+      if (is_to_blame (owner, other, victim, now_ms))
+        blamed += added;
+      else
+        others += added;
     }
-  return worst;
+  return PACE_FULL * (TAIL_LIMIT / victim->calm - 1 - others) / blamed;
 }
 
 static guint
-next_pace (guint pace, double worst)
+allowed_pace (const struct iv_owner *owner, const struct iv_run *run, gint64 now_ms)
 {
-  if (worst >= TAIL_HALT)
-    return 0;
-  if (worst > TAIL_SLOW)
-    return pace > PACE_STEP ? pace - PACE_STEP : 0;
-  if (worst < TAIL_RELEASE)
-    return MIN (PACE_FULL, pace + PACE_STEP);
-  return pace;
+  double allowed = PACE_FULL;
+  for (guint i = 0; i < run->worker->runs->len; i++)
+    {
+      const struct iv_run *victim = g_ptr_array_index (run->worker->runs, i);
+      if (serves (victim))
+        allowed = MIN (allowed, pace_beside (owner, run, victim, now_ms));
+    }
+  return allowed < PACE_LEAST ? 0 : (guint)allowed / PACE_STEP * PACE_STEP;
 }
 
 /* A job that has nothing else running keeps what it has. */
@@ -179,7 +207,7 @@
 static void
 pace (struct iv_owner *owner, struct iv_run *run, gint64 now_ms)
 {
-  set_pace (owner, run, next_pace (run->pace, worst_victim (owner, run, now_ms)), now_ms);
+  set_pace (owner, run, allowed_pace (owner, run, now_ms), now_ms);
   if (run->pace > 0 || now_ms < run->halted_ms + HALTED_MS || run->phase != IV_PHASE_RUNNING
       || !(run->step->flags & IVJ_SAVES) || is_only_one (owner, run))
     return;
