Ask the advice service for tickets where a queue needs them

Change: one question at a time, about at most 30 workers with the most room that were not refused; a ticket counts for one life of a worker and until it ends.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -87,6 +87,23 @@
   step_after (task, 0);
 }
 
+static void
+on_advised (void *context, const struct iv_advice_answer *answer)
+{
+  struct iv_cell_task *task = context;
+  iv_owner_advised (task->owner, answer, iv_cell_now (task));
+  step_after (task, 0);
+}
+
+/* Without a service nobody may run the step: asked again, it stays so. */
+static void
+send_question (void *context, const struct iv_task_name *name, const GPtrArray *workers)
+{
+  struct iv_cell_task *task = context;
+  if (task->links.settings->advice)
+    iv_worker_advise (task->calls, task->links.settings->advice, name, workers);
+}
+
 static void
 send_start (void *context, const struct iv_fleet_worker *worker, const struct iv_start_order *order)
 {
@@ -126,6 +143,7 @@
   rule->attempts = (guint)MAX (route->attempts, 1);
   rule->stretch = route->stretch;
   rule->objective_ms = route->objective_ms;
+  rule->advised = route->advised;
   return TRUE;
 }
 
@@ -414,12 +432,13 @@
                                       .stop = send_stop,
                                       .look = send_look,
                                       .pace = send_pace,
+                                      .advise = send_question,
                                       .queue = queue_rule,
                                       .domain_open = domain_open,
                                       .owns_job = owns_job,
                                       .roomier_cell = roomier_cell,
                                       .move_job = move_job };
-  struct iv_worker_answers answers = { task, on_started, on_stopped, on_looked };
+  struct iv_worker_answers answers = { task, on_started, on_stopped, on_looked, on_advised };
   struct iv_stream_options options = { .topic = IV_TOPIC_WORKERS,
                                        .wait_ms = WORKERS_WAIT_MS,
                                        .gap_ms = WORKERS_GAP_MS,
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "advice.h"
 #include "event.h"
 #include "sharing.h"
 
@@ -65,6 +66,7 @@
   struct iv_start_order order = {
     .name = *name, .number = number, .spec = work->job->spec.spec, .checkpoint = task->checkpoint
   };
+  order.ticket = iv_advice_ticket (stage->advice, worker, now_ms);
   order.until_clock = iv_worker_clock (worker, now_ms) + owner->start_ms;
   run->phase = IV_PHASE_STARTING;
   run->workload = iv_sharing_workload (owner, stage->step);
@@ -229,6 +231,7 @@
           .occurrence = occurrence->number,
           .service = candidate->rule.service,
           .workload = iv_sharing_workload (owner, stage->step),
+          .advised = candidate->rule.advised,
           .starved = work->placed == 0 && now_ms > work->served_ms + STARVED_MS,
           .now_ms = now_ms };
   g_strlcpy (name.job, work->job->id, sizeof name.job);
@@ -238,6 +241,8 @@
       if (view.rack == NULL)
         view.rack = choose_rack (owner, stage);
     }
+  if (view.advised)
+    iv_advice_ask (owner, &view, stage);
   if (stage->step->flags & IVJ_GANG)
     dispatch_gang (owner, &view, work, stage, &name, now_ms);
   else
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -63,6 +63,8 @@
   iv_fleet_free (owner->fleet);
   iv_interference_free (owner->model);
   g_hash_table_destroy (owner->unsure);
+  if (owner->question.workers)
+    g_array_free (owner->question.workers, TRUE);
   while (owner->works->len > 0)
     iv_work_free (g_ptr_array_remove_index_fast (owner->works, 0));
   g_ptr_array_free (owner->works, TRUE);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -15,14 +15,15 @@
 /** Outcome of an order to a worker. */
 enum iv_order_outcome
 {
-  IV_ORDERED,       /**< done, or it was already */
-  IV_ORDER_FENCED,  /**< a higher fence was seen there */
-  IV_ORDER_OLD,     /**< that run or a later one has ended there */
-  IV_ORDER_LATE,    /**< its deadline has passed */
-  IV_ORDER_NO_ROOM, /**< it does not fit */
-  IV_ORDER_REFUSED, /**< any other refusal; nothing was done */
-  IV_ORDER_GONE,    /**< another life answers there */
-  IV_ORDER_UNKNOWN  /**< no answer: it may have been done, or may be later */
+  IV_ORDERED,         /**< done, or it was already */
+  IV_ORDER_FENCED,    /**< a higher fence was seen there */
+  IV_ORDER_OLD,       /**< that run or a later one has ended there */
+  IV_ORDER_LATE,      /**< its deadline has passed */
+  IV_ORDER_NO_ROOM,   /**< it does not fit */
+  IV_ORDER_NO_TICKET, /**< its ticket is missing or not valid any more */
+  IV_ORDER_REFUSED,   /**< any other refusal; nothing was done */
+  IV_ORDER_GONE,      /**< another life answers there */
+  IV_ORDER_UNKNOWN    /**< no answer: it may have been done, or may be later */
 };
 
 /** How a run ended. */
@@ -73,6 +74,7 @@
   guint attempts;
   double stretch;
   gint64 objective_ms;
+  gboolean advised; /**< a start needs a ticket of the advice service */
 };
 
 /** An order to start a run. */
@@ -83,6 +85,19 @@
   const char *spec;
   gint64 until_clock;
   const char *checkpoint;
+  const char *ticket; /**< of the advice service; NULL: none is needed */
+};
+
+/** What the advice service allows. */
+struct iv_advice_answer
+{
+  gint64 valid_ms; /**< for which the tickets are valid, from when they were given */
+  guint count;
+  const struct iv_allowed_worker
+  {
+    const char *worker;
+    const char *ticket;
+  } * allowed;
 };
 
 /** Time limits, milliseconds. */
@@ -107,6 +122,9 @@
                 gint64 wait_ms);
   void (*pace) (void *context, const struct iv_fleet_worker *worker,
                 const struct iv_task_name *name, gint64 number, guint percent);
+  /** Ask the advice service which of @a workers (struct iv_fleet_worker) may run the step that
+   *  @a name is of. */
+  void (*advise) (void *context, const struct iv_task_name *name, const GPtrArray *workers);
   /** FALSE when the configuration has no such queue. */
   gboolean (*queue) (void *context, const char *host, const char *prefix,
                      struct iv_queue_rule *rule);
@@ -168,6 +186,10 @@
 void iv_owner_looked (struct iv_owner *owner, guint32 worker, enum iv_order_outcome outcome,
                       const struct iv_look *look, gint64 now_ms);
 
+/** The answer to the only question on its way; NULL when there is none. */
+void iv_owner_advised (struct iv_owner *owner, const struct iv_advice_answer *answer,
+                       gint64 now_ms);
+
 /** What the owner may do now. */
 struct iv_owner_leave
 {
--- a/jobs/owner_looks.c
+++ b/jobs/owner_looks.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "advice.h"
 #include "event.h"
 #include "sharing.h"
 
@@ -18,7 +19,8 @@
 
 static const char *const end_names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
 static const char *const outcome_names[]
-    = { "ordered", "fenced", "old", "late", "no_room", "refused", "another_life", "no_answer" };
+    = { "ordered",   "fenced",  "old",          "late",     "no_room",
+        "no_ticket", "refused", "another_life", "no_answer" };
 static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
 
 static void
@@ -40,6 +42,16 @@
   owner->deposed = TRUE;
 }
 
+static void
+forget_ticket (struct iv_owner *owner, const struct iv_fleet_worker *worker,
+               const struct iv_task_name *name)
+{
+  struct iv_work *work = iv_owner_work (owner, name);
+  struct iv_stage *stage = NULL;
+  if (work && iv_work_task (work, name, &stage))
+    iv_advice_forget (stage->advice, worker);
+}
+
 void
 iv_owner_started (struct iv_owner *owner, guint32 handle, const struct iv_task_name *name,
                   gint64 number, enum iv_order_outcome outcome, gint64 clock, gint64 now_ms)
@@ -71,8 +83,10 @@
       iv_owner_stop_run (owner, run, now_ms);
       return;
     }
-  /* It holds something that is not in our books, or is unwell: a list will tell. */
-  worker->aside_until_ms = now_ms + (outcome == IV_ORDER_NO_ROOM ? NO_ROOM_MS : ASIDE_MS / 6);
+  if (outcome == IV_ORDER_NO_TICKET)
+    forget_ticket (owner, worker, name);
+  else /* It holds something that is not in our books, or is unwell: a list will tell. */
+    worker->aside_until_ms = now_ms + (outcome == IV_ORDER_NO_ROOM ? NO_ROOM_MS : ASIDE_MS / 6);
   iv_run_remove (run);
   iv_owner_return_task (owner, name, NULL, TRUE);
 }
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -8,6 +8,21 @@
 #include "interference.h"
 #include "owner.h"
 
+/** A worker that the advice service is asked about. */
+struct iv_asked_worker
+{
+  guint32 handle;
+  gint64 born_ms;
+};
+
+/** The question that is on its way to the advice service. */
+struct iv_question
+{
+  gboolean asked;
+  struct iv_task_name name; /**< its step */
+  GArray *workers;          /**< of struct iv_asked_worker */
+};
+
 struct iv_owner
 {
   struct iv_book *book;
@@ -30,9 +45,11 @@
   gboolean changed;      /**< something was freed or came: place again */
   gint64 dispatch_at_ms; /**< place again even if nothing changed */
   gint64 moves_at_ms;    /**< when to look for jobs to move next */
-  GPtrArray *works;      /**< of struct iv_work: jobs that are not over */
-  GPtrArray *dirty;      /**< of struct iv_job */
-  guint64 record;        /**< number of the newest collection */
+  struct iv_question question;
+  gint64 ask_at_ms; /**< no question before */
+  GPtrArray *works; /**< of struct iv_work: jobs that are not over */
+  GPtrArray *dirty; /**< of struct iv_job */
+  guint64 record;   /**< number of the newest collection */
 };
 
 /** @a task is no longer placed. */
@@ -80,9 +97,13 @@
   const char *service;
   const char *rack; /**< only this rack, when set */
   guint32 workload; /**< image of the stage in the interference model */
+  gboolean advised; /**< only workers with a ticket */
   gboolean starved; /**< the job has had nothing running for long: take what harms least */
   gint64 now_ms;
 };
 struct iv_fleet_worker *iv_place (const struct iv_placement_view *view, const struct iv_task *task);
 
+/** Whether @a worker could take a task of the stage, tickets aside. */
+gboolean iv_place_fits (const struct iv_fleet_worker *worker, const struct iv_placement_view *view);
+
 #endif
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,3 +1,4 @@
+#include "advice.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -31,8 +32,8 @@
   return count;
 }
 
-static gboolean
-is_usable (const struct iv_fleet_worker *worker, const struct iv_placement_view *view)
+gboolean
+iv_place_fits (const struct iv_fleet_worker *worker, const struct iv_placement_view *view)
 {
   const ivj_step *step = view->stage->step;
   const struct iv_owner *owner = view->owner;
@@ -44,6 +45,13 @@
          && (step->per_worker_max == 0 || siblings (worker, view) < step->per_worker_max);
 }
 
+static gboolean
+is_usable (const struct iv_fleet_worker *worker, const struct iv_placement_view *view)
+{
+  return iv_place_fits (worker, view)
+         && (!view->advised || iv_advice_ticket (view->stage->advice, worker, view->now_ms));
+}
+
 /* Tasks that serve keep to their own image: what fills then finds workers where it harms nobody. */
 static gint64
 company (const struct iv_fleet_worker *worker, guint32 workload)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -4,6 +4,7 @@
 
 #define STEP_MS 10
 #define CALL_MS 4
+#define ASK_MS 50
 #define TIMEOUT_MS 800
 #define LATE_LONGEST_MS 100000
 
@@ -23,6 +24,7 @@
   struct iv_task_name name;
   gint64 number;
   gint64 until;
+  gboolean has_ticket;
   gint64 lease;
   gint64 seen;
   gint64 sent_ms;
@@ -65,6 +67,7 @@
   call->name = order->name;
   call->number = order->number;
   call->until = order->until_clock;
+  call->has_ticket = g_strcmp0 (order->ticket, worker->id) == 0;
   bench->started++;
 }
 
@@ -96,11 +99,42 @@
   bench->last_pace = percent;
 }
 
+static void
+on_advise (void *context, const struct iv_task_name *name, const GPtrArray *workers)
+{
+  struct bench *bench = context;
+  bench->questions++;
+  bench->ask_answer_ms = bench->now_ms + ASK_MS;
+  for (guint i = 0; i < workers->len; i++)
+    g_ptr_array_add (
+        bench->asked,
+        g_strdup (((const struct iv_fleet_worker *)g_ptr_array_index (workers, i))->id));
+}
+
+static void
+answer_question (struct bench *bench)
+{
+  struct iv_allowed_worker allowed[BENCH_WORKERS_MAX];
+  struct iv_advice_answer answer = { .valid_ms = bench->valid_ms, .allowed = allowed };
+  if (bench->ask_answer_ms == 0 || bench->now_ms < bench->ask_answer_ms)
+    return;
+  for (guint i = 0; i < bench->asked->len; i++)
+    {
+      const char *id = g_ptr_array_index (bench->asked, i);
+      if (index_of (bench, id) % 2 == 1)
+        allowed[answer.count++] = (struct iv_allowed_worker){ id, id };
+    }
+  bench->ask_answer_ms = 0;
+  if (bench->owner)
+    iv_owner_advised (bench->owner, &answer, bench->now_ms);
+  g_ptr_array_set_size (bench->asked, 0);
+}
+
 static gboolean
 on_queue (void *context, const char *host, const char *prefix, struct iv_queue_rule *rule)
 {
   struct bench *bench = context;
-  *rule = (struct iv_queue_rule){ "service", 0, bench->attempts, 2.0, 1000 };
+  *rule = (struct iv_queue_rule){ "service", 0, bench->attempts, 2.0, 1000, bench->advised };
   return TRUE;
 }
 
@@ -140,7 +174,7 @@
 }
 
 static enum iv_order_outcome
-carry_start (struct bench_worker *worker, const struct bench_call *call)
+carry_start (struct bench *bench, struct bench_worker *worker, const struct bench_call *call)
 {
   struct bench_run run = { .name = call->name, .number = call->number, .pace = 100 };
   if (call->until < worker->clock)
@@ -149,6 +183,11 @@
     return IV_ORDER_OLD;
   if (worker->refuses)
     return IV_ORDER_NO_ROOM;
+  if (bench->advised && !call->has_ticket)
+    {
+      bench->no_ticket++;
+      return IV_ORDER_NO_TICKET;
+    }
   worker->lease = MAX (worker->lease, call->until);
   for (guint i = 0; i < worker->runs->len; i++)
     if (same_name (&g_array_index (worker->runs, struct bench_run, i).name, &call->name))
@@ -211,7 +250,7 @@
     }
   worker->fence = call->term;
   if (call->kind == CALL_START)
-    call->outcome = carry_start (worker, call);
+    call->outcome = carry_start (bench, worker, call);
   else if (call->kind == CALL_STOP)
     call->outcome = carry_stop (worker, call);
   else
@@ -353,6 +392,7 @@
       bench->wall_ms += STEP_MS;
       lapse (bench);
       advance_calls (bench);
+      answer_question (bench);
       if (bench->owner)
         {
           iv_owner_step (bench->owner, &leave, bench->now_ms, bench->wall_ms);
@@ -368,6 +408,8 @@
   bench->count = workers;
   bench->book = iv_book_new ();
   bench->calls = g_ptr_array_new ();
+  bench->asked = g_ptr_array_new_with_free_func (g_free);
+  bench->valid_ms = 1000;
   bench->now_ms = 1000;
   bench->wall_ms = 1000000;
   bench->confirmed = TRUE;
@@ -399,6 +441,7 @@
   for (guint i = 0; i < bench->calls->len; i++)
     free_call (g_ptr_array_index (bench->calls, i));
   g_ptr_array_free (bench->calls, TRUE);
+  g_ptr_array_free (bench->asked, TRUE);
   for (guint i = 0; i < bench->count; i++)
     {
       g_array_free (bench->workers[i].runs, TRUE);
@@ -459,6 +502,7 @@
                                       .stop = on_stop,
                                       .look = on_look,
                                       .pace = on_pace,
+                                      .advise = on_advise,
                                       .queue = on_queue,
                                       .domain_open = on_domain_open,
                                       .owns_job = on_owns_job,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -61,6 +61,12 @@
   gboolean closed_a;      /**< domain "a" is out of service */
   gint64 elsewhere_milli; /**< room in another cell */
   guint moved;
+  gboolean advised;     /**< starts need a ticket; workers with an odd number get one */
+  gint64 valid_ms;      /**< of a ticket */
+  gint64 ask_answer_ms; /**< when the question under way is answered; 0: there is none */
+  GPtrArray *asked;     /**< of char *: ids in that question */
+  guint questions;
+  guint no_ticket; /**< starts that were rejected for want of one */
   guint attempts;
   GPtrArray *calls; /**< of struct bench_call */
   guint started;
--- a/jobs/work.c
+++ b/jobs/work.c
@@ -1,4 +1,4 @@
-#include "work.h"
+#include "advice.h"
 
 #include <string.h>
 
@@ -31,6 +31,7 @@
           g_free (stage->tasks[j].checkpoint);
           g_free (stage->tasks[j].failed_runs);
         }
+      iv_advice_free (stage->advice);
       g_free (stage->tasks);
     }
   g_free (occurrence->stages);
--- a/jobs/work.h
+++ b/jobs/work.h
@@ -35,9 +35,10 @@
   guint number;
   guint done;
   guint placed;
-  gboolean sure;         /**< a former owner cannot have started any of its tasks */
-  double calm_tail_ms;   /**< tail of its tasks that serve, undisturbed; 0: not known */
-  struct iv_task *tasks; /**< `step->count` of them */
+  gboolean sure;            /**< a former owner cannot have started any of its tasks */
+  double calm_tail_ms;      /**< tail of its tasks that serve, undisturbed; 0: not known */
+  struct iv_advice *advice; /**< tickets for its tasks; NULL: none were asked for */
+  struct iv_task *tasks;    /**< `step->count` of them */
 };
 
 /** One time that the steps run. */
