Refuse more jobs that last while short ones need the room

Cause: jobs that last start first and keep every core that is ever free. Change: the owner counts what lasting jobs were accepted and what short ones needed lately (at most a tenth of the room), and tells every host twice a second; a host refuses a lasting job that would not fit beside both, at once, with Retry-After 5.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -9,7 +9,7 @@
 #define STEP_EVERY_MS 25
 #define RECORD_GATHER_MS 20
 #define MODEL_EVERY_MS 2000
-#define LOAD_EVERY_MS 500 /* other cells send jobs by it */
+#define LOAD_EVERY_MS 500 /* other cells send jobs by it, hosts refuse jobs by it */
 #define WORKERS_GAP_MS 250
 #define WORKERS_WAIT_MS 1000
 #define JOBS_GAP_OWNER_MS                                                                          \
@@ -322,16 +322,14 @@
 static void
 record_load (struct iv_cell_task *task)
 {
-  const struct iv_layout *layout = task->links.layout (task->links.context);
   struct iv_cell_room room;
-  char value[64];
-  if (iv_cell_now (task) < task->load_at_ms || iv_recorder_busy (task->recorder)
-      || iv_layout_cells (layout) == 1)
+  char value[96];
+  if (iv_cell_now (task) < task->load_at_ms || iv_recorder_busy (task->recorder))
     return;
   task->load_at_ms = iv_cell_now (task) + LOAD_EVERY_MS;
   iv_owner_room (task->owner, &room);
-  g_snprintf (value, sizeof value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT, room.free_milli,
-              room.fill_milli);
+  g_snprintf (value, sizeof value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+              room.free_milli, room.fill_milli, room.lasting_milli);
   record_for_cell (task, IV_KEY_LOAD, value, strlen (value));
 }
 
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -99,6 +99,22 @@
   return best;
 }
 
+static gboolean
+has_room (void *context, const struct iv_job *job)
+{
+  struct iv_fleet_app *app = context;
+  const struct iv_layout *layout = layout_of (app);
+  struct cell_load *load = layout ? &app->loads[iv_layout_job_cell (layout, job)] : NULL;
+  gint64 need = iv_job_lasting_milli (&job->spec);
+  if (need == 0 || load == NULL || load->at_ms == 0
+      || load->at_ms < (gint64)uv_now (app->loop) - LOAD_VALID_MS)
+    return TRUE;
+  if (need > load->room.lasting_milli)
+    return FALSE;
+  load->room.lasting_milli -= need;
+  return TRUE;
+}
+
 static void
 on_job_changed (void *context, struct iv_job *job)
 {
@@ -113,7 +129,8 @@
   char *text = g_strndup ((const char *)value, len);
   char *rest;
   app->loads[cell].room.free_milli = g_ascii_strtoll (text, &rest, 10);
-  app->loads[cell].room.fill_milli = g_ascii_strtoll (rest, NULL, 10);
+  app->loads[cell].room.fill_milli = g_ascii_strtoll (rest, &rest, 10);
+  app->loads[cell].room.lasting_milli = g_ascii_strtoll (rest, NULL, 10);
   app->loads[cell].at_ms = (gint64)uv_now (app->loop);
   g_free (text);
 }
@@ -293,7 +310,8 @@
                                   .book = app->book,
                                   .settings = app->settings,
                                   .context = app,
-                                  .routes = routes_of };
+                                  .routes = routes_of,
+                                  .has_room = has_room };
   /* A name for each life, so that sequence numbers start anew with it. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
   links.recorder = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1,
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -9,7 +9,8 @@
 
 #define WAIT_FALLBACK_MS 3000 /* for callers that name no deadline */
 #define WAIT_SLACK_MS 150     /* for the answer to travel */
-#define RETRY_AFTER_S "1"
+#define RETRY_STORE_S "1"     /* the store is away for seconds */
+#define RETRY_ROOM_S "5"      /* room comes free when jobs that last are cancelled */
 #define BODY_MAX (512 * 1024)
 
 struct iv_front_task
@@ -37,21 +38,28 @@
 static void
 answer (struct iv_http_request *request, int status, const char *json)
 {
-  static const struct iv_http_header later[] = { { "Retry-After", RETRY_AFTER_S }, { NULL, NULL } };
-  gboolean refused = status == 503 || status == 429;
-  iv_http_answer (request, status, "application/json", refused ? later : NULL, json, strlen (json));
+  iv_http_answer (request, status, "application/json", NULL, json, strlen (json));
 }
 
 static void
-refuse (struct iv_http_request *request, int status, const char *id, const char *reason)
+refuse_until (struct iv_http_request *request, int status, const char *id, const char *reason,
+              const char *retry_s)
 {
+  const struct iv_http_header later[] = { { "Retry-After", retry_s }, { NULL, NULL } };
   char *json = g_strdup_printf ("{\"reason\":\"%s\"}", reason);
   iv_event (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, "request.refused",
-            "job=%s status=%d reason=%s", *id ? id : "-", status, iv_quote (reason));
-  answer (request, status, json);
+            "job=%s status=%d retry_s=%s reason=%s", *id ? id : "-", status,
+            retry_s ? retry_s : "-", iv_quote (reason));
+  iv_http_answer (request, status, "application/json", retry_s ? later : NULL, json, strlen (json));
   g_free (json);
 }
 
+static void
+refuse (struct iv_http_request *request, int status, const char *id, const char *reason)
+{
+  refuse_until (request, status, id, reason, status == 503 ? RETRY_STORE_S : NULL);
+}
+
 static void
 on_deadline (void *context)
 {
@@ -156,6 +164,14 @@
   g_byte_array_free (bytes, TRUE);
 }
 
+static gboolean
+has_room (const struct iv_front_task *task, const char *id, const ivj_job *spec)
+{
+  struct iv_job job = { .spec = *spec, .moved_to = -1 };
+  g_strlcpy (job.id, id, sizeof job.id);
+  return task->links.has_room (task->links.context, &job);
+}
+
 static void
 submit (struct iv_front_task *task, struct iv_http_request *request, const char *id,
         const struct iv_route *route)
@@ -181,6 +197,8 @@
     refuse (request, 400, id, iv_last_message ());
   else if (store_is_down (task))
     refuse (request, 503, id, "the store is not available");
+  else if (!has_room (task, id, &job))
+    refuse_until (request, 503, id, "no room for more that lasts", RETRY_ROOM_S);
   else
     store_job (task, request, id, route, &job);
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -23,6 +23,8 @@
   const struct iv_settings *settings;
   void *context;
   const struct iv_routes *(*routes) (void *context);
+  /** Whether the cell of @a job, which is not accepted yet, has room for what lasts of it. */
+  gboolean (*has_room) (void *context, const struct iv_job *job);
 };
 
 struct iv_front_task;
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -1,29 +1,10 @@
 #include "owner_private.h"
 
 #include "event.h"
-#include "sharing.h"
 
 #define MOVES_EVERY_MS 250
 #define WAITED_MS 400 /* other cells are told how full they are every half second */
 
-void
-iv_owner_room (const struct iv_owner *owner, struct iv_cell_room *room)
-{
-  GHashTableIter iter;
-  gpointer value;
-  *room = (struct iv_cell_room){ 0 };
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct iv_fleet_worker *worker = value;
-      if (!worker->listed || !worker->fenced || worker->draining || worker->failures > 0
-          || !owner->effects.domain_open (owner->effects.context, worker->domain))
-        continue;
-      room->free_milli += worker->room.cpu_milli - worker->used.cpu_milli;
-      room->fill_milli += MAX (0, iv_sharing_leftover (worker));
-    }
-}
-
 /* Nobody has started, or can have started, a task of it. */
 static gboolean
 is_untouched (const struct iv_owner *owner, const struct iv_work *work)
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -142,8 +142,10 @@
 /** Cores that are free in a cell, in thousandths. */
 struct iv_cell_room
 {
-  gint64 free_milli; /**< for tasks that need room */
-  gint64 fill_milli; /**< for tasks that fill */
+  gint64 free_milli;    /**< for tasks that need room */
+  gint64 fill_milli;    /**< for tasks that fill */
+  gint64 lasting_milli; /**< for more jobs that last, beside those accepted and what short ones
+                           need; negative when these do not fit */
 };
 
 struct iv_owner;
@@ -226,8 +228,8 @@
 /** Whether so many workers are silent that this host is likely cut off rather than they. */
 gboolean iv_owner_cut_off (const struct iv_owner *owner);
 
-/** Count what is free now. */
-void iv_owner_room (const struct iv_owner *owner, struct iv_cell_room *room);
+/** Count what is free now; to be called every now and then. */
+void iv_owner_room (struct iv_owner *owner, struct iv_cell_room *room);
 
 /** Worker by id, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -45,6 +45,7 @@
   gboolean changed;      /**< something was freed or came: place again */
   gint64 dispatch_at_ms; /**< place again even if nothing changed */
   gint64 moves_at_ms;    /**< when to look for jobs to move next */
+  gint64 short_milli;    /**< cores that tasks which end needed lately at the most */
   struct iv_question question;
   gint64 ask_at_ms; /**< no question before */
   GPtrArray *works; /**< of struct iv_work: jobs that are not over */
--- /dev/null
+++ b/jobs/room.c
@@ -0,0 +1,75 @@
+#include "owner_private.h"
+
+#include "sharing.h"
+
+#define SHORT_KEEP_PERCENT 97 /* of the highest need: what is left of it after each count */
+#define SHORT_MOST_PERCENT 10 /* of the room is kept for tasks that end, at the most */
+
+static gboolean
+is_open (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
+{
+  return worker->listed && worker->fenced && !worker->draining && worker->failures == 0
+         && owner->effects.domain_open (owner->effects.context, worker->domain);
+}
+
+/* Cores of open tasks that need room, of those that last and of the others. */
+struct demand
+{
+  gint64 lasting_milli;
+  gint64 short_milli;
+};
+
+static void
+add_stage (struct demand *demand, const struct iv_occurrence *occurrence,
+           const struct iv_stage *stage)
+{
+  guint open = stage->step->count - stage->done;
+  if (stage->step->flags & IVJ_FILLS)
+    return;
+  if (stage->step->flags & IVJ_LASTS)
+    demand->lasting_milli += (gint64)stage->step->cpu_milli * open;
+  else if (iv_stage_ready (occurrence, stage))
+    demand->short_milli += (gint64)stage->step->cpu_milli * open;
+}
+
+static struct demand
+count_demand (const struct iv_owner *owner)
+{
+  struct demand demand = { 0 };
+  for (guint i = 0; i < owner->works->len; i++)
+    {
+      const struct iv_work *work = g_ptr_array_index (owner->works, i);
+      for (guint j = 0; j < work->open->len; j++)
+        {
+          const struct iv_occurrence *occurrence = g_ptr_array_index (work->open, j);
+          for (guint k = 0; k < work->job->spec.steps.steps_len; k++)
+            add_stage (&demand, occurrence, &occurrence->stages[k]);
+        }
+    }
+  return demand;
+}
+
+/* Jobs that last take every core that is ever free, and keep it; so short ones, which come and go,
+   would find less and less. What they needed lately is kept for them. */
+void
+iv_owner_room (struct iv_owner *owner, struct iv_cell_room *room)
+{
+  struct demand demand = count_demand (owner);
+  gint64 all = 0;
+  GHashTableIter iter;
+  gpointer value;
+  *room = (struct iv_cell_room){ 0 };
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct iv_fleet_worker *worker = value;
+      if (!is_open (owner, worker))
+        continue;
+      all += worker->room.cpu_milli;
+      room->free_milli += worker->room.cpu_milli - worker->used.cpu_milli;
+      room->fill_milli += MAX (0, iv_sharing_leftover (worker));
+    }
+  owner->short_milli = MAX (demand.short_milli, owner->short_milli * SHORT_KEEP_PERCENT / 100);
+  room->lasting_milli
+      = all - demand.lasting_milli - MIN (owner->short_milli, all * SHORT_MOST_PERCENT / 100);
+}
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -828,6 +828,39 @@
   bench_free (bench);
 }
 
+/* khairat scale-2: jobs that last took every free core, and short ones were late by seconds. What
+   short ones needed lately is kept; what is accepted counts before it is placed. */
+static void
+test_room_is_kept_for_short_jobs (void **state)
+{
+  struct bench *bench = bench_new (4);
+  struct iv_cell_room room;
+  for (guint i = 0; i < 4; i++)
+    bench->workers[i].room_milli = 64000;
+  bench_own (bench);
+  bench_run_for (bench, 100);
+  iv_owner_room (bench->owner, &room);
+  assert_int_equal (room.lasting_milli, 256000);
+  make_job (4, 0);
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 100);
+  iv_owner_room (bench->owner, &room);
+  assert_int_equal (room.lasting_milli, 248000);
+  bench_end_all (bench, IV_END_DONE);
+  bench_run_for (bench, 300);
+  iv_owner_room (bench->owner, &room);
+  assert_in_range (room.lasting_milli, 248000, 249000);
+  make_job (4, 0);
+  steps[0].flags = IVJ_LASTS;
+  steps[0].cpu_milli = 60000;
+  bench->evidence_age_ms = STALE_MS;
+  bench_submit (bench, OTHER, &spec);
+  bench_run_for (bench, 100);
+  iv_owner_room (bench->owner, &room);
+  assert_in_range (room.lasting_milli, 8000, 9000);
+  bench_free (bench);
+}
+
 /* Tasks of a queue with advice start only where the service allows it, with a ticket. */
 static void
 test_advised_tasks_start_with_tickets (void **state)
@@ -908,6 +941,7 @@
     cmocka_unit_test (test_fillers_yield_to_tails),
     cmocka_unit_test (test_job_without_a_place_moves),
     cmocka_unit_test (test_begun_or_unsure_jobs_stay),
+    cmocka_unit_test (test_room_is_kept_for_short_jobs),
     cmocka_unit_test (test_advised_tasks_start_with_tickets),
     cmocka_unit_test (test_tickets_are_renewed),
   };
--- a/jobs/work.c
+++ b/jobs/work.c
@@ -355,3 +355,13 @@
       return TRUE;
   return FALSE;
 }
+
+gint64
+iv_job_lasting_milli (const ivj_job *spec)
+{
+  gint64 sum = 0;
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    if ((spec->steps.steps_val[i].flags & (IVJ_LASTS | IVJ_FILLS)) == IVJ_LASTS)
+      sum += (gint64)spec->steps.steps_val[i].cpu_milli * spec->steps.steps_val[i].count;
+  return sum;
+}
--- a/jobs/work.h
+++ b/jobs/work.h
@@ -107,6 +107,9 @@
 /** Longest chain of estimated run times of what is not done in the open occurrences. */
 gint64 iv_work_left_ms (const struct iv_work *work);
 
+/** Cores, in thousandths, that the steps of @a spec which last take of the room. */
+gint64 iv_job_lasting_milli (const ivj_job *spec);
+
 /** Whether a step of @a spec lasts until it is cancelled. */
 gboolean iv_job_lasts (const ivj_job *spec);
 
