--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -326,8 +326,9 @@
   char value[96];
   if (iv_cell_now (task) < task->load_at_ms || iv_recorder_busy (task->recorder))
     return;
+  if (!iv_owner_room (task->owner, &room))
+    return;
   task->load_at_ms = iv_cell_now (task) + LOAD_EVERY_MS;
-  iv_owner_room (task->owner, &room);
   g_snprintf (value, sizeof value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
               room.free_milli, room.fill_milli, room.lasting_milli);
   record_for_cell (task, IV_KEY_LOAD, value, strlen (value));
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -228,8 +228,8 @@
 /** Whether so many workers are silent that this host is likely cut off rather than they. */
 gboolean iv_owner_cut_off (const struct iv_owner *owner);
 
-/** Count what is free now; to be called every now and then. */
-void iv_owner_room (struct iv_owner *owner, struct iv_cell_room *room);
+/** Count what is free now; to be called every now and then. FALSE while workers are still asked. */
+gboolean iv_owner_room (struct iv_owner *owner, struct iv_cell_room *room);
 
 /** Worker by id, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -51,7 +51,7 @@
 
 /* Jobs that last take every core that is ever free, and keep it; so short ones, which come and go,
    would find less and less. What they needed lately is kept for them. */
-void
+gboolean
 iv_owner_room (struct iv_owner *owner, struct iv_cell_room *room)
 {
   struct demand demand = count_demand (owner);
@@ -59,6 +59,8 @@
   GHashTableIter iter;
   gpointer value;
   *room = (struct iv_cell_room){ 0 };
+  if (!owner->settled)
+    return FALSE;
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -72,4 +74,5 @@
   owner->short_milli = MAX (demand.short_milli, owner->short_milli * SHORT_KEEP_PERCENT / 100);
   room->lasting_milli
       = all - demand.lasting_milli - MIN (owner->short_milli, all * SHORT_MOST_PERCENT / 100);
+  return TRUE;
 }
