--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -163,10 +163,10 @@
 }
 
 static gint
-roomier_cell (void *context, gint64 cpu_milli, gboolean fills)
+roomier_cell (void *context, gint64 cpu_milli, enum iv_room_kind kind)
 {
   struct iv_cell_task *task = context;
-  return task->links.roomier_cell (task->links.context, task->cell, cpu_milli, fills);
+  return task->links.roomier_cell (task->links.context, task->cell, cpu_milli, kind);
 }
 
 /* A job that leaves for another cell: it is ours again when that could not be stored. */
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -28,8 +28,8 @@
   const struct iv_layout *(*layout) (void *context); /**< NULL while it is not known */
   const struct iv_routes *(*routes) (void *context);
   gboolean (*domain_open) (void *context, const char *domain);
-  /** Another cell than @a cell that has much more room than @a cpu_milli; -1: there is none. */
-  gint (*roomier_cell) (void *context, guint cell, gint64 cpu_milli, gboolean fills);
+  /** Another cell than @a cell that has much more room of a kind than @a cpu_milli; -1: none. */
+  gint (*roomier_cell) (void *context, guint cell, gint64 cpu_milli, enum iv_room_kind kind);
 };
 
 struct iv_cell_task;
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -20,6 +20,7 @@
 #define LEAVE_UNREADY_MS 2500 /* the balancer needs two misses, a second apart */
 #define LEAVE_TICK_MS 50
 #define LOAD_VALID_MS 2000 /* cells tell their room every half second */
+#define LEVEL_TIMES 1      /* of a job that lasts: cells differ by no more */
 #define ROOM_TIMES 3       /* as much room as a job needs: others may be on their way */
 #define SWEEP_EVERY_MS 5000
 #define KEEP_MARGIN_MS 30000 /* hosts' clocks differ, by seconds at worst */
@@ -74,45 +75,72 @@
   return iv_layout_task_layout (((struct iv_fleet_app *)context)->layout);
 }
 
-/* The cell with the most room, taken for used by @a cpu_milli until it tells anew. */
-static gint
-roomier_cell (void *context, guint cell, gint64 cpu_milli, gboolean fills)
+static gint64
+room_of (const struct cell_load *load, enum iv_room_kind kind)
 {
-  struct iv_fleet_app *app = context;
+  if (kind == IV_ROOM_FILL)
+    return load->room.fill_milli;
+  return kind == IV_ROOM_LASTING ? load->room.lasting_milli : load->room.free_milli;
+}
+
+/* Taken for used until the cell tells anew. */
+static void
+take_room (struct cell_load *load, gint64 cpu_milli)
+{
+  load->room.free_milli -= cpu_milli;
+  load->room.fill_milli -= cpu_milli;
+  load->room.lasting_milli -= cpu_milli;
+}
+
+/* The cell with the most room; NULL when no cell told lately that it has more than @a least. */
+static struct cell_load *
+roomiest (struct iv_fleet_app *app, enum iv_room_kind kind, gint64 least)
+{
+  const struct iv_layout *layout = layout_of (app);
   gint64 oldest_ms = (gint64)uv_now (app->loop) - LOAD_VALID_MS;
-  gint64 most = cpu_milli * ROOM_TIMES;
-  gint best = -1;
-  for (guint i = 0; i < iv_layout_cells (layout_of (app)); i++)
+  struct cell_load *best = NULL;
+  for (guint i = 0; layout && i < iv_layout_cells (layout); i++)
     {
-      const struct cell_load *load = &app->loads[i];
-      gint64 room = fills ? load->room.fill_milli : load->room.free_milli;
-      if (i == cell || load->at_ms == 0 || load->at_ms < oldest_ms || room <= most)
+      struct cell_load *load = &app->loads[i];
+      if (load->at_ms == 0 || load->at_ms < oldest_ms || room_of (load, kind) <= least)
         continue;
-      best = (gint)i;
-      most = room;
+      best = load;
+      least = room_of (load, kind);
     }
-  if (best >= 0)
+  return best;
+}
+
+static gint
+roomier_cell (void *context, guint cell, gint64 cpu_milli, enum iv_room_kind kind)
+{
+  struct iv_fleet_app *app = context;
+  struct cell_load *own = &app->loads[cell];
+  gint64 least = kind == IV_ROOM_LASTING ? room_of (own, kind) + cpu_milli * LEVEL_TIMES
+                                         : cpu_milli * ROOM_TIMES;
+  struct cell_load *best = roomiest (app, kind, least);
+  if (best == NULL || best == own)
     {
-      app->loads[best].room.free_milli -= cpu_milli;
-      app->loads[best].room.fill_milli -= cpu_milli;
+      if (kind == IV_ROOM_LASTING)
+        take_room (own, cpu_milli);
+      return -1;
     }
-  return best;
+  take_room (best, cpu_milli);
+  return (gint)(best - app->loads);
 }
 
+/* A job that lasts is sent to whichever cell has room. */
 static gboolean
 has_room (void *context, const struct iv_job *job)
 {
   struct iv_fleet_app *app = context;
-  const struct iv_layout *layout = layout_of (app);
-  struct cell_load *load = layout ? &app->loads[iv_layout_job_cell (layout, job)] : NULL;
   gint64 need = iv_job_lasting_milli (&job->spec);
-  if (need == 0 || load == NULL || load->at_ms == 0
-      || load->at_ms < (gint64)uv_now (app->loop) - LOAD_VALID_MS)
+  struct cell_load *best;
+  if (need == 0 || roomiest (app, IV_ROOM_LASTING, G_MININT64 / 2) == NULL)
     return TRUE;
-  if (need > load->room.lasting_milli)
-    return FALSE;
-  load->room.lasting_milli -= need;
-  return TRUE;
+  best = roomiest (app, IV_ROOM_LASTING, need);
+  if (best)
+    best->room.lasting_milli -= need;
+  return best != NULL;
 }
 
 static void
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -2,8 +2,8 @@
 
 #include "event.h"
 
-#define MOVES_EVERY_MS 250
-#define WAITED_MS 400 /* other cells are told how full they are every half second */
+#define MOVES_EVERY_MS 100
+#define WAITED_MS 150 /* a move takes about 100 */
 
 /* Nobody has started, or can have started, a task of it. */
 static gboolean
@@ -14,7 +14,7 @@
 
 /* Cores of the first step that waits; 0 when none does. */
 static gint64
-waiting_milli (const struct iv_work *work, gboolean *fills)
+waiting_milli (const struct iv_work *work, enum iv_room_kind *kind)
 {
   for (guint i = 0; i < work->open->len; i++)
     {
@@ -24,7 +24,7 @@
           const struct iv_stage *stage = &occurrence->stages[j];
           if (!iv_stage_ready (occurrence, stage))
             continue;
-          *fills = (stage->step->flags & IVJ_FILLS) != 0;
+          *kind = stage->step->flags & IVJ_FILLS ? IV_ROOM_FILL : IV_ROOM_SHORT;
           return (gint64)stage->step->cpu_milli * stage->step->count;
         }
     }
@@ -32,12 +32,10 @@
 }
 
 static gboolean
-move_if_roomier (struct iv_owner *owner, struct iv_work *work)
+move_if_roomier (struct iv_owner *owner, struct iv_work *work, gint64 need, enum iv_room_kind kind)
 {
   struct iv_job *job = work->job;
-  gboolean fills = FALSE;
-  gint64 need = waiting_milli (work, &fills);
-  gint cell = need > 0 ? owner->effects.roomier_cell (owner->effects.context, need, fills) : -1;
+  gint cell = need > 0 ? owner->effects.roomier_cell (owner->effects.context, need, kind) : -1;
   if (cell < 0)
     return FALSE;
   iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%d need_milli=%" G_GINT64_FORMAT, job->id, cell,
@@ -49,6 +47,13 @@
   return TRUE;
 }
 
+gboolean
+iv_owner_level_out (struct iv_owner *owner, struct iv_work *work)
+{
+  return work->job->moved_to < 0 && is_untouched (owner, work)
+         && move_if_roomier (owner, work, iv_job_lasting_milli (&work->job->spec), IV_ROOM_LASTING);
+}
+
 void
 iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms)
 {
@@ -58,7 +63,8 @@
   for (guint i = owner->works->len; i-- > 0;)
     {
       struct iv_work *work = g_ptr_array_index (owner->works, i);
+      enum iv_room_kind kind = IV_ROOM_SHORT;
       if (is_untouched (owner, work) && now_ms > work->first_seen_ms + WAITED_MS)
-        move_if_roomier (owner, work);
+        move_if_roomier (owner, work, waiting_milli (work, &kind), kind);
     }
 }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -248,6 +248,8 @@
       g_ptr_array_add (owner->works, work);
       set_objective (owner, work);
       owner->changed = TRUE;
+      if (!job->cancel && iv_owner_level_out (owner, work))
+        return;
     }
   if (job->cancel)
     iv_owner_end_work (owner, work, IVJ_CANCELLED, now_ms);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -109,6 +109,14 @@
   gint64 evidence_ms; /**< no task starts when the word on failure domains is older */
 };
 
+/** For what a job needs cores. */
+enum iv_room_kind
+{
+  IV_ROOM_SHORT,  /**< tasks that end, and need room */
+  IV_ROOM_FILL,   /**< tasks that fill */
+  IV_ROOM_LASTING /**< tasks that last: cells are kept level */
+};
+
 /** What the owner causes. */
 struct iv_owner_effects
 {
@@ -131,10 +139,8 @@
   gboolean (*domain_open) (void *context, const char *domain);
   /** Whether @a job belongs to this cell. */
   gboolean (*owns_job) (void *context, const struct iv_job *job);
-  /** Another cell with much more room than @a cpu_milli, for tasks that need room or fill; -1:
-   * none.
-   */
-  gint (*roomier_cell) (void *context, gint64 cpu_milli, gboolean fills);
+  /** Another cell with much more room of a kind than @a cpu_milli; -1: none. */
+  gint (*roomier_cell) (void *context, gint64 cpu_milli, enum iv_room_kind kind);
   /** Record that @a cell serves @a job from now on. */
   void (*move_job) (void *context, const struct iv_job *job, guint cell);
 };
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -85,6 +85,10 @@
 /** Send jobs that find no place here to a cell with more room: moves.c. */
 void iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms);
 
+/** Send a job that lasts, and has just come, to a cell with much more room for such. TRUE when it
+ *  went. */
+gboolean iv_owner_level_out (struct iv_owner *owner, struct iv_work *work);
+
 /** Start what can be started: dispatch.c. */
 void iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -478,7 +478,7 @@
 }
 
 static gint
-on_roomier_cell (void *context, gint64 cpu_milli, gboolean fills)
+on_roomier_cell (void *context, gint64 cpu_milli, enum iv_room_kind kind)
 {
   struct bench *bench = context;
   return bench->elsewhere_milli > cpu_milli ? 1 : -1;
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -810,6 +810,29 @@
   bench_free (bench);
 }
 
+/* khairat-grown quiet-1: one cell was full of what lasts, and short jobs in it waited half a second
+   to be moved. A job that lasts goes to the emptier cell before it starts. */
+static void
+test_lasting_jobs_level_cells_out (void **state)
+{
+  struct bench *bench = bench_new (4);
+  bench_own (bench);
+  bench_run_for (bench, 100);
+  bench->elsewhere_milli = 100000;
+  make_job (1, 0);
+  steps[0].flags = IVJ_LASTS;
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 100);
+  assert_int_equal (bench->moved, 1);
+  assert_int_equal (bench->started, 0);
+  make_job (1, 0);
+  bench_submit (bench, OTHER, &spec);
+  bench_run_for (bench, 100);
+  assert_int_equal (bench->moved, 1);
+  assert_int_equal (bench->started, 1);
+  bench_free (bench);
+}
+
 /* What may run here is moved nowhere. */
 static void
 test_begun_or_unsure_jobs_stay (void **state)
@@ -940,6 +963,7 @@
     cmocka_unit_test (test_one_silent_domain_of_many_counts_as_cut_off),
     cmocka_unit_test (test_fillers_yield_to_tails),
     cmocka_unit_test (test_job_without_a_place_moves),
+    cmocka_unit_test (test_lasting_jobs_level_cells_out),
     cmocka_unit_test (test_begun_or_unsure_jobs_stay),
     cmocka_unit_test (test_room_is_kept_for_short_jobs),
     cmocka_unit_test (test_advised_tasks_start_with_tickets),
