Keep a job away once it was sent to another cell

Ruled out: the recorder (what it calls not stored is not stored), layouts that differ (one writer, one sequence number: the store keeps the first). Change: a job that was sent away is left alone until the move is read; a move that is read takes the job from whoever still has it.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -7,6 +7,7 @@
 
 #define CLAIM_TIMEOUT_MS 1000
 #define HANDOVER_TIMEOUT_MS 500
+#define RELEASED_FOR_MS 2000 /* unless nobody took the cell by then */
 
 static void
 on_caught_up (void *context)
@@ -84,7 +85,8 @@
 may_claim (const struct iv_cell_task *task)
 {
   const struct iv_layout *layout = task->links.layout (task->links.context);
-  return layout && task->cell < iv_layout_cells (layout) && !task->resigned && !task->owner;
+  return layout && task->cell < iv_layout_cells (layout) && !task->resigned && !task->owner
+         && iv_cell_now (task) >= task->claim_after_ms;
 }
 
 static void
@@ -151,6 +153,12 @@
   g_strfreev (task->handover);
   task->handover = g_strsplit (text, " ", 0);
   g_free (text);
+  /* Nobody owns the cell now: its successor need not wait until the owner is no member. */
+  if (g_ascii_strtoll (task->handover[0], NULL, 10) == task->incumbent_term)
+    {
+      g_free (task->incumbent);
+      task->incumbent = g_strdup ("");
+    }
 }
 
 /* The next owner need not wait for workers that certainly run nothing. */
@@ -172,6 +180,17 @@
   g_ptr_array_free (ids, TRUE);
 }
 
+gboolean
+iv_cell_task_release (struct iv_cell_task *task)
+{
+  if (task->owner == NULL || iv_membership_holds (task->links.membership, task->cell))
+    return FALSE;
+  hand_over (task);
+  iv_cell_lose (task, "released");
+  task->claim_after_ms = iv_cell_now (task) + RELEASED_FOR_MS;
+  return TRUE;
+}
+
 void
 iv_cell_task_resign (struct iv_cell_task *task)
 {
--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -27,6 +27,8 @@
   gint64 claim_end; /* the stream is to be folded up to here before we begin */
   struct iv_owner *owner;
   gint64 term;
+  gint64 since_ms;       /* when ownership began */
+  gint64 claim_after_ms; /* no claim before: the cell was released to another host */
   struct iv_worker_calls *calls;
   struct iv_recorder *recorder;
   struct iv_stream *workers;
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -184,7 +184,7 @@
   struct iv_cell_task *task = moving->task;
   struct iv_job *job = iv_book_find (task->links.book, moving->id);
   if (status == IV_ERR_UNAVAILABLE && job && task->owner && task->term == moving->term)
-    iv_owner_job (task->owner, job, iv_cell_now (task));
+    iv_owner_not_moved (task->owner, job, iv_cell_now (task));
   g_free (moving);
 }
 
@@ -425,7 +425,8 @@
   struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
                                     .start_ms = settings->start_ms,
                                     .horizon_ms = settings->horizon_ms,
-                                    .evidence_ms = settings->evidence_ms };
+                                    .evidence_ms = settings->evidence_ms,
+                                    .spare_rack = iv_layout_cells (layout) > 1 };
   struct iv_owner_effects effects = { .context = task,
                                       .start = send_start,
                                       .stop = send_stop,
@@ -447,6 +448,7 @@
                                        .context = task };
   task->claiming = FALSE;
   task->term = task->claim_term;
+  task->since_ms = iv_cell_now (task);
   iv_event (IV_LEVEL_INFO, "owner.gained", "cell=%u term=%" G_GINT64_FORMAT, task->cell,
             task->term);
   task->owner = iv_owner_new (task->links.book, task->term, &limits, &effects, iv_cell_now (task),
@@ -513,3 +515,9 @@
 {
   return task->owner != NULL;
 }
+
+gint64
+iv_cell_task_owned_ms (const struct iv_cell_task *task)
+{
+  return task->owner ? iv_cell_now (task) - task->since_ms : 0;
+}
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -52,8 +52,13 @@
 /** What the owner of @a cell learnt of pairs of images was folded. */
 void iv_cell_task_model (struct iv_cell_task *task, guint cell, const guint8 *value, gsize len);
 
-/** Whether this host owns the cell. */
+/** Whether this host owns the cell, and for how many milliseconds it has; 0 when it does not. */
 gboolean iv_cell_task_owns (const struct iv_cell_task *task);
+gint64 iv_cell_task_owned_ms (const struct iv_cell_task *task);
+
+/** Hand the cell to the member that holds its partition now. FALSE when it is not owned here, or
+ * the partition is. */
+gboolean iv_cell_task_release (struct iv_cell_task *task);
 
 /** Give the cell up for good. */
 void iv_cell_task_resign (struct iv_cell_task *task);
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -19,9 +19,10 @@
 #define ACCEPT_DOUBT_MS 2500  /* callers wait about this long */
 #define LEAVE_UNREADY_MS 2500 /* the balancer needs two misses, a second apart */
 #define LEAVE_TICK_MS 50
-#define LOAD_VALID_MS 2000 /* cells tell their room every half second */
-#define LEVEL_TIMES 1      /* of a job that lasts: cells differ by no more */
-#define ROOM_TIMES 3       /* as much room as a job needs: others may be on their way */
+#define RELEASE_AFTER_MS 5000 /* a change of owner costs the cell about a second */
+#define LOAD_VALID_MS 2000    /* cells tell their room every half second */
+#define LEVEL_TIMES 1         /* of a job that lasts: cells differ by no more */
+#define ROOM_TIMES 3          /* as much room as a job needs: others may be on their way */
 #define SWEEP_EVERY_MS 5000
 #define KEEP_MARGIN_MS 30000 /* hosts' clocks differ, by seconds at worst */
 
@@ -278,10 +279,32 @@
   app->operators = iv_stream_new (app->loop, app->deadlines, app->store, &operators);
 }
 
+/* After trouble one host may own several cells while others own none. */
+static void
+share_cells (struct iv_fleet_app *app)
+{
+  guint owned = 0;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    owned += iv_cell_task_owns (app->cells[i]);
+  for (guint i = 0; owned > 1 && i < IV_CELLS_MAX; i++)
+    if (iv_cell_task_owned_ms (app->cells[i]) > RELEASE_AFTER_MS
+        && iv_cell_task_release (app->cells[i]))
+      return;
+}
+
+static void
+on_stood_down (void *context)
+{
+  struct iv_fleet_app *app = context;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    iv_cell_task_release (app->cells[i]);
+}
+
 static void
 on_confirmed (void *context)
 {
   struct iv_fleet_app *app = context;
+  share_cells (app);
   iv_layout_task_confirmed (app->layout);
   for (guint i = 0; i < IV_CELLS_MAX; i++)
     iv_cell_task_confirmed (app->cells[i]);
@@ -296,7 +319,8 @@
                                         .host = app->settings->host,
                                         .settings = &app->settings->fleet,
                                         .context = app,
-                                        .confirmed = on_confirmed };
+                                        .confirmed = on_confirmed,
+                                        .stood_down = on_stood_down };
   struct iv_layout_links layout = { .loop = app->loop,
                                     .deadlines = app->deadlines,
                                     .store = app->store,
--- a/daemon/membership.c
+++ b/daemon/membership.c
@@ -12,6 +12,7 @@
 #define RESERVE_BELOW_MILLI 200 /* of a core: an owner of 66 workers takes up to 77 */
 #define RESERVE_FIRST_MS 2500   /* larger hosts join before */
 #define RESERVE_EVERY_MS 2000   /* calls are priced */
+#define RESERVE_MARK "/reserve" /* at the end of a small host's name as a member */
 #define MEMBERS_LEAST 3         /* one may fail while another is stopped */
 
 struct iv_membership
@@ -25,7 +26,9 @@
   gint64 sent_ms;
   gint64 sent_boot_ms;
   guint wanted;
+  gboolean small;   /* stays in reserve while it can */
   gboolean reserve; /* in reserve: not a member */
+  gint64 count_at_ms;
   gboolean calling;
   gboolean left;
 };
@@ -69,8 +72,22 @@
                  membership->sent_ms + CALL_TIMEOUT_MS, on_joined, membership);
 }
 
+/* Members that are not small, each once. */
 static guint
-count_distinct (const GPtrArray *members)
+count_large (const GPtrArray *members)
+{
+  GHashTable *set = g_hash_table_new (g_str_hash, g_str_equal);
+  guint count;
+  for (guint i = 0; i < members->len; i++)
+    if (!g_str_has_suffix (g_ptr_array_index (members, i), RESERVE_MARK))
+      g_hash_table_add (set, g_ptr_array_index (members, i));
+  count = g_hash_table_size (set);
+  g_hash_table_destroy (set);
+  return count;
+}
+
+static guint
+count_all (const GPtrArray *members)
 {
   GHashTable *set = g_hash_table_new (g_str_hash, g_str_equal);
   guint count;
@@ -81,22 +98,35 @@
   return count;
 }
 
+/* A small host joins while there are too few members, and leaves once large ones suffice. */
 static void
 on_counted (void *context, const GPtrArray *members)
 {
   struct iv_membership *membership = context;
-  guint count = members ? count_distinct (members) : G_MAXUINT;
   membership->calling = FALSE;
   if (membership->left)
     return;
-  if (count >= membership->wanted)
+  next_after (membership, RESERVE_EVERY_MS + g_random_int_range (0, RESERVE_EVERY_MS / 2));
+  if (members == NULL)
+    return;
+  if (membership->reserve && count_all (members) < membership->wanted)
     {
-      next_after (membership, RESERVE_EVERY_MS + g_random_int_range (0, RESERVE_EVERY_MS / 2));
-      return;
+      iv_event (IV_LEVEL_INFO, "member.called_in", "members=%u wanted=%u", count_all (members),
+                membership->wanted);
+      membership->reserve = FALSE;
+      join (membership);
+    }
+  else if (!membership->reserve && count_large (members) >= membership->wanted)
+    {
+      iv_event (IV_LEVEL_INFO, "member.stood_down", "large=%u", count_large (members));
+      membership->reserve = TRUE;
+      membership->partitions = 0;
+      membership->links.stood_down (membership->links.context);
+      iv_store_leave (membership->links.store, GROUP, membership->name,
+                      now_of (membership) + LEAVE_TIMEOUT_MS);
     }
-  iv_event (IV_LEVEL_INFO, "member.called_in", "members=%u wanted=%u", count, membership->wanted);
-  membership->reserve = FALSE;
-  join (membership);
+  else if (!membership->reserve)
+    join (membership);
 }
 
 static void
@@ -105,12 +135,13 @@
   struct iv_membership *membership = context;
   if (membership->calling || membership->left)
     return;
-  if (!membership->reserve)
+  if (!membership->small || (!membership->reserve && now_of (membership) < membership->count_at_ms))
     {
       join (membership);
       return;
     }
   membership->calling = TRUE;
+  membership->count_at_ms = now_of (membership) + RESERVE_EVERY_MS;
   iv_membership_list (membership, on_counted, membership);
 }
 
@@ -119,9 +150,11 @@
 {
   struct iv_membership *membership = g_new0 (struct iv_membership, 1);
   membership->links = *links;
-  membership->name = g_strdup_printf ("%s-%08x", links->host, g_random_int ());
+  membership->small = links->settings->cpu_milli < RESERVE_BELOW_MILLI;
+  membership->reserve = membership->small;
+  membership->name = g_strdup_printf ("%s-%08x%s", links->host, g_random_int (),
+                                      membership->small ? RESERVE_MARK : "");
   membership->wanted = MEMBERS_LEAST;
-  membership->reserve = links->settings->cpu_milli < RESERVE_BELOW_MILLI;
   membership->next.fire = on_next;
   membership->next.context = membership;
   next_after (membership, membership->reserve
--- a/daemon/membership.h
+++ b/daemon/membership.h
@@ -3,7 +3,8 @@
  * This host as a candidate for owning cells: a member of one group of the store, which deals its
  * partitions among the members. Whoever holds the partition of a cell may replace its owner.
  *
- * A small host stays in reserve: it joins only while there are too few members.
+ * A small host stays in reserve: it joins while there are too few members, and goes back once large
+ * ones suffice.
  */
 #ifndef IV_MEMBERSHIP_H
 #define IV_MEMBERSHIP_H
@@ -25,6 +26,7 @@
   const struct iv_fleet_settings *settings;
   void *context;
   iv_membership_confirmed confirmed;
+  void (*stood_down) (void *context); /**< back in reserve: hand over whatever is owned */
 };
 
 /** One life of this host as a member. */
--- a/jobs/book.c
+++ b/jobs/book.c
@@ -131,6 +131,7 @@
   if (!ok)
     return iv_fail (IV_ERR_INVALID, "the record names no cell");
   job->moved_to = (gint)cell;
+  job->leaving = FALSE;
   return IV_OK;
 }
 
--- a/jobs/book.h
+++ b/jobs/book.h
@@ -36,6 +36,7 @@
   ivj_progress progress; /**< as recorded: what callers are told */
   enum ivj_state live;   /**< the owner's; it runs ahead of what is recorded */
   gint64 live_ended_ms;
+  gboolean leaving;     /**< the owner has sent it to another cell; that is not folded yet */
   struct iv_work *work; /**< the owner's part; NULL elsewhere */
 };
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -43,6 +43,7 @@
   g_ptr_array_remove_fast (owner->works, work);
   g_ptr_array_remove_fast (owner->dirty, job);
   iv_work_free (work);
+  job->leaving = TRUE;
   owner->effects.move_job (owner->effects.context, job, (guint)cell);
   return TRUE;
 }
@@ -68,3 +69,10 @@
         move_if_roomier (owner, work, waiting_milli (work, &kind), kind);
     }
 }
+
+void
+iv_owner_not_moved (struct iv_owner *owner, struct iv_job *job, gint64 now_ms)
+{
+  job->leaving = FALSE;
+  iv_owner_job (owner, job, now_ms);
+}
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -51,7 +51,10 @@
 {
   const struct iv_owner *owner = context;
   if (owner->effects.owns_job (owner->effects.context, job))
-    job->live = IVJ_QUEUED;
+    {
+      job->live = IVJ_QUEUED;
+      job->leaving = FALSE;
+    }
 }
 
 void
@@ -233,12 +236,30 @@
   work->worthless_ms = start + 3 * span;
 }
 
+/* Another cell serves the job of @a work now. */
+static void
+withdraw (struct iv_owner *owner, struct iv_work *work, gint64 now_ms)
+{
+  iv_event (IV_LEVEL_WARNING, "job.withdrawn", "job=%s placed=%u", work->job->id, work->placed);
+  if (work->placed > 0)
+    stop_job (owner, work->job, now_ms);
+  g_ptr_array_remove_fast (owner->works, work);
+  g_ptr_array_remove_fast (owner->dirty, work->job);
+  iv_work_free (work);
+}
+
 void
 iv_owner_job (struct iv_owner *owner, struct iv_job *job, gint64 now_ms)
 {
   struct iv_work *work = job->work;
-  if (!owner->effects.owns_job (owner->effects.context, job))
+  if (job->leaving)
     return;
+  if (!owner->effects.owns_job (owner->effects.context, job))
+    {
+      if (work)
+        withdraw (owner, work, now_ms);
+      return;
+    }
   if (work == NULL)
     {
       if (iv_state_ended (job->progress.state) || iv_state_ended (job->live))
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -103,10 +103,11 @@
 /** Time limits, milliseconds. */
 struct iv_owner_limits
 {
-  gint64 lease_ms;    /**< renewed with every look */
-  gint64 start_ms;    /**< a start is refused when it arrives later */
-  gint64 horizon_ms;  /**< after it, nothing of a former owner runs on a silent worker */
-  gint64 evidence_ms; /**< no task starts when the word on failure domains is older */
+  gint64 lease_ms;     /**< renewed with every look */
+  gint64 start_ms;     /**< a start is refused when it arrives later */
+  gint64 horizon_ms;   /**< after it, nothing of a former owner runs on a silent worker */
+  gint64 evidence_ms;  /**< no task starts when the word on failure domains is older */
+  gboolean spare_rack; /**< other cells cannot take over what lasts: keep room for a lost rack */
 };
 
 /** For what a job needs cores. */
@@ -175,6 +176,9 @@
 /** Whether another owner was met. */
 gboolean iv_owner_deposed (const struct iv_owner *owner);
 
+/** The move of @a job could not be recorded: it stays. */
+void iv_owner_not_moved (struct iv_owner *owner, struct iv_job *job, gint64 now_ms);
+
 /** A record of @a job was folded. */
 void iv_owner_job (struct iv_owner *owner, struct iv_job *job, gint64 now_ms);
 
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -49,6 +49,32 @@
   return demand;
 }
 
+static gint64
+largest_rack (const struct iv_owner *owner)
+{
+  GHashTable *racks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
+  gint64 largest = 0;
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct iv_fleet_worker *worker = value;
+      gint64 *sum = g_hash_table_lookup (racks, worker->rack);
+      if (!is_open (owner, worker))
+        continue;
+      if (sum == NULL)
+        {
+          sum = g_new0 (gint64, 1);
+          g_hash_table_insert (racks, worker->rack, sum);
+        }
+      *sum += worker->room.cpu_milli;
+      largest = MAX (largest, *sum);
+    }
+  g_hash_table_destroy (racks);
+  return largest;
+}
+
 /* Jobs that last take every core that is ever free, and keep it; so short ones, which come and go,
    would find less and less. What they needed lately is kept for them. */
 gboolean
@@ -71,6 +97,9 @@
       room->free_milli += worker->room.cpu_milli - worker->used.cpu_milli;
       room->fill_milli += MAX (0, iv_sharing_leftover (worker));
     }
+  /* What lasts is bound to its cell once it has begun. */
+  if (owner->limits.spare_rack)
+    all -= largest_rack (owner);
   owner->short_milli = MAX (demand.short_milli, owner->short_milli * SHORT_KEEP_PERCENT / 100);
   room->lasting_milli
       = all - demand.lasting_milli - MIN (owner->short_milli, all * SHORT_MOST_PERCENT / 100);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -491,6 +491,8 @@
   char key[IV_JOB_ID_LEN + 8];
   g_snprintf (key, sizeof key, "%s" IV_KEY_MOVE, job->id);
   bench->moved++;
+  if (bench->moves_wait)
+    return;
   iv_book_fold (bench->book, key, (const guint8 *)(cell == 1 ? "1" : "2"), 1);
 }
 
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -61,6 +61,7 @@
   gboolean closed_a;      /**< domain "a" is out of service */
   gint64 elsewhere_milli; /**< room in another cell */
   guint moved;
+  gboolean moves_wait;  /**< moves are stored, and not read yet */
   gboolean advised;     /**< starts need a ticket; workers with an odd number get one */
   gint64 valid_ms;      /**< of a ticket */
   gint64 ask_answer_ms; /**< when the question under way is answered; 0: there is none */
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -833,6 +833,37 @@
   bench_free (bench);
 }
 
+/* khairat-grown hunts, TWICE: a job that was handed in again came back before its move was read,
+   and ran in both cells. */
+static void
+test_moved_job_handed_in_again_stays_away (void **state)
+{
+  for (guint late = 0; late < 2; late++)
+    {
+      struct bench *bench = bench_new (1);
+      bench_own (bench);
+      make_job (2, 0);
+      bench_submit (bench, JOB, &spec);
+      bench_run_for (bench, 100);
+      bench->elsewhere_milli = 100000;
+      bench->moves_wait = TRUE;
+      bench_submit (bench, OTHER, &spec);
+      bench_run_for (bench, 1000);
+      assert_int_equal (bench->moved, 1);
+      bench_submit (bench, OTHER, &spec);
+      if (late)
+        {
+          iv_book_fold (bench->book, OTHER IV_KEY_MOVE, (const guint8 *)"1", 1);
+          iv_owner_job (bench->owner, iv_book_find (bench->book, OTHER), bench->now_ms);
+        }
+      bench_end_all (bench, IV_END_DONE);
+      bench_run_for (bench, 1000);
+      assert_int_equal (bench->started, 2);
+      assert_int_equal (bench->moved, 1);
+      bench_free (bench);
+    }
+}
+
 /* What may run here is moved nowhere. */
 static void
 test_begun_or_unsure_jobs_stay (void **state)
@@ -884,6 +915,21 @@
   bench_free (bench);
 }
 
+/* khairat-grown hunts, LOST: a cell that lost workers had no room for what lasts, others had. */
+static void
+test_room_for_a_lost_rack_is_kept (void **state)
+{
+  struct bench *bench = bench_new (4);
+  struct iv_cell_room room;
+  bench->limits.spare_rack = TRUE;
+  bench_own (bench);
+  bench_run_for (bench, 100);
+  assert_true (iv_owner_room (bench->owner, &room));
+  assert_int_equal (room.lasting_milli, 8000); /* two racks of two workers with four cores */
+  assert_int_equal (room.free_milli, 16000);
+  bench_free (bench);
+}
+
 /* Tasks of a queue with advice start only where the service allows it, with a ticket. */
 static void
 test_advised_tasks_start_with_tickets (void **state)
@@ -964,8 +1010,10 @@
     cmocka_unit_test (test_fillers_yield_to_tails),
     cmocka_unit_test (test_job_without_a_place_moves),
     cmocka_unit_test (test_lasting_jobs_level_cells_out),
+    cmocka_unit_test (test_moved_job_handed_in_again_stays_away),
     cmocka_unit_test (test_begun_or_unsure_jobs_stay),
     cmocka_unit_test (test_room_is_kept_for_short_jobs),
+    cmocka_unit_test (test_room_for_a_lost_rack_is_kept),
     cmocka_unit_test (test_advised_tasks_start_with_tickets),
     cmocka_unit_test (test_tickets_are_renewed),
   };
