Send a lasting job that lost its place to a cell that has room for all of it

Change: after a second without a place the job is stopped, and moves once nothing of it can run; not where its tasks may be unavailable only a few at a time.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -116,7 +116,7 @@
 {
   struct iv_fleet_app *app = context;
   struct cell_load *own = &app->loads[cell];
-  gint64 least = kind == IV_ROOM_LASTING ? room_of (own, kind) + cpu_milli * LEVEL_TIMES
+  gint64 least = kind == IV_ROOM_LASTING ? MAX (room_of (own, kind), 0) + cpu_milli * LEVEL_TIMES
                                          : cpu_milli * ROOM_TIMES;
   struct cell_load *best = roomiest (app, kind, least);
   if (best == NULL || best == own)
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -279,7 +279,9 @@
     {
       struct candidate candidate = { .work = g_ptr_array_index (owner->works, i) };
       const ivj_job *spec = &candidate.work->job->spec;
-      if (!owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &candidate.rule))
+      if (candidate.work->evacuate_to >= 0
+          || !owner->effects.queue (owner->effects.context, spec->host, spec->prefix,
+                                    &candidate.rule))
         continue;
       if (candidate.work->placed > 0)
         candidate.work->served_ms = now_ms;
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -4,6 +4,8 @@
 
 #define MOVES_EVERY_MS 100
 #define WAITED_MS 150 /* a move takes about 100 */
+#define STUCK_MS                                                                                   \
+  1000 /* tasks that last must not wait 3 s for a place: the platform's page on rules */
 
 /* Nobody has started, or can have started, a task of it. */
 static gboolean
@@ -31,23 +33,77 @@
   return 0;
 }
 
+/* The job leaves for @a cell; nothing of it runs. */
+static void
+send_away (struct iv_owner *owner, struct iv_work *work, guint cell)
+{
+  struct iv_job *job = work->job;
+  iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%u", job->id, cell);
+  g_ptr_array_remove_fast (owner->works, work);
+  iv_work_free (work);
+  job->leaving = TRUE;
+  owner->effects.move_job (owner->effects.context, job, cell);
+}
+
 static gboolean
 move_if_roomier (struct iv_owner *owner, struct iv_work *work, gint64 need, enum iv_room_kind kind)
 {
-  struct iv_job *job = work->job;
   gint cell = need > 0 ? owner->effects.roomier_cell (owner->effects.context, need, kind) : -1;
   if (cell < 0)
     return FALSE;
-  iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%d need_milli=%" G_GINT64_FORMAT, job->id, cell,
-            need);
-  g_ptr_array_remove_fast (owner->works, work);
-  g_ptr_array_remove_fast (owner->dirty, job);
-  iv_work_free (work);
-  job->leaving = TRUE;
-  owner->effects.move_job (owner->effects.context, job, (guint)cell);
+  g_ptr_array_remove_fast (owner->dirty, work->job);
+  send_away (owner, work, (guint)cell);
+  return TRUE;
+}
+
+/* Tasks that last, and may all be stopped at once. */
+static gboolean
+may_be_evacuated (const struct iv_work *work)
+{
+  const ivj_job *spec = &work->job->spec;
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    if (!(spec->steps.steps_val[i].flags & IVJ_LASTS) || spec->steps.steps_val[i].unavailable_max)
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+all_placed (const struct iv_work *work)
+{
+  for (guint i = 0; i < work->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (work->open, i);
+      for (guint j = 0; j < work->job->spec.steps.steps_len; j++)
+        if (occurrence->stages[j].placed < occurrence->stages[j].step->count)
+          return FALSE;
+    }
   return TRUE;
 }
 
+/* A job that lasts and has lost workers goes whole to a cell that has room for all of it. */
+static void
+evacuate_if_stuck (struct iv_owner *owner, struct iv_work *work, gint64 now_ms)
+{
+  gint cell;
+  if (all_placed (work) || !owner->settled || !may_be_evacuated (work))
+    {
+      work->stuck_ms = 0;
+      return;
+    }
+  if (work->stuck_ms == 0)
+    work->stuck_ms = now_ms;
+  if (now_ms < work->stuck_ms + STUCK_MS)
+    return;
+  cell = owner->effects.roomier_cell (owner->effects.context,
+                                      iv_job_lasting_milli (&work->job->spec), IV_ROOM_LASTING);
+  if (cell < 0)
+    return;
+  iv_event (IV_LEVEL_INFO, "job.evacuated", "job=%s to=%d placed=%u", work->job->id, cell,
+            work->placed);
+  work->evacuate_to = cell;
+  iv_owner_stop_job (owner, work->job, now_ms);
+}
+
 gboolean
 iv_owner_level_out (struct iv_owner *owner, struct iv_work *work)
 {
@@ -65,7 +121,12 @@
     {
       struct iv_work *work = g_ptr_array_index (owner->works, i);
       enum iv_room_kind kind = IV_ROOM_SHORT;
-      if (is_untouched (owner, work) && now_ms > work->first_seen_ms + WAITED_MS)
+      if (work->evacuate_to >= 0 && work->placed == 0
+          && work->job->progress.state == work->job->live)
+        send_away (owner, work, (guint)work->evacuate_to);
+      else if (work->evacuate_to < 0 && work->begun)
+        evacuate_if_stuck (owner, work, now_ms);
+      else if (is_untouched (owner, work) && now_ms > work->first_seen_ms + WAITED_MS)
         move_if_roomier (owner, work, waiting_milli (work, &kind), kind);
     }
 }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -182,9 +182,8 @@
   owner->effects.stop (owner->effects.context, run->worker, &run->name, run->number);
 }
 
-/* Stop whatever runs of @a job. */
-static void
-stop_job (struct iv_owner *owner, const struct iv_job *job, gint64 now_ms)
+void
+iv_owner_stop_job (struct iv_owner *owner, const struct iv_job *job, gint64 now_ms)
 {
   GHashTableIter iter;
   gpointer value;
@@ -214,7 +213,7 @@
             job->id, job->spec.prefix, iv_state_name (state), now_ms - work->first_seen_ms,
             work->objective_ms - now_ms);
   if (work->placed > 0)
-    stop_job (owner, job, now_ms);
+    iv_owner_stop_job (owner, job, now_ms);
   g_ptr_array_remove_fast (owner->works, work);
   iv_work_free (work);
   owner->changed = TRUE;
@@ -242,7 +241,7 @@
 {
   iv_event (IV_LEVEL_WARNING, "job.withdrawn", "job=%s placed=%u", work->job->id, work->placed);
   if (work->placed > 0)
-    stop_job (owner, work->job, now_ms);
+    iv_owner_stop_job (owner, work->job, now_ms);
   g_ptr_array_remove_fast (owner->works, work);
   g_ptr_array_remove_fast (owner->dirty, work->job);
   iv_work_free (work);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -73,6 +73,9 @@
 void iv_owner_return_task (struct iv_owner *owner, const struct iv_task_name *name,
                            const char *checkpoint, gboolean sure);
 
+/** Stop whatever runs of @a job. */
+void iv_owner_stop_job (struct iv_owner *owner, const struct iv_job *job, gint64 now_ms);
+
 /** Send a stop for @a run. */
 void iv_owner_stop_run (struct iv_owner *owner, struct iv_run *run, gint64 now_ms);
 
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -833,6 +833,32 @@
   bench_free (bench);
 }
 
+/* khairat-grown hunts, LOST: tasks that last found no place after their workers were lost, while
+   another cell had room. The whole job goes there, once nothing of it runs here. */
+static void
+test_stuck_lasting_job_is_evacuated (void **state)
+{
+  struct bench *bench = bench_new (2);
+  bench_own (bench);
+  make_job (4, 0);
+  steps[0].flags = IVJ_LASTS;
+  bench_submit (bench, JOB, &spec);
+  bench_run_for (bench, 200);
+  assert_int_equal (bench_total (bench), 4);
+  bench->workers[0].refuses = TRUE;
+  bench_reboot (bench, 0);
+  bench->elsewhere_milli = 100000;
+  bench_run_for (bench, 600);
+  bench->workers[1].silent = TRUE; /* stops do not reach it: its tasks run on */
+  bench_run_for (bench, 2000);
+  assert_int_equal (bench->moved, 0);
+  bench->workers[1].silent = FALSE;
+  bench_run_for (bench, 3000);
+  assert_int_equal (bench->moved, 1);
+  assert_int_equal (bench_total (bench), 0);
+  bench_free (bench);
+}
+
 /* khairat-grown hunts, TWICE: a job that was handed in again came back before its move was read,
    and ran in both cells. */
 static void
@@ -869,6 +895,7 @@
 test_begun_or_unsure_jobs_stay (void **state)
 {
   struct bench *bench = bench_new (2);
+  bench->stored = FALSE; /* the next owner reads of no start */
   bench_own (bench);
   make_job (8, 0);
   bench_submit (bench, JOB, &spec);
@@ -1011,6 +1038,7 @@
     cmocka_unit_test (test_job_without_a_place_moves),
     cmocka_unit_test (test_lasting_jobs_level_cells_out),
     cmocka_unit_test (test_moved_job_handed_in_again_stays_away),
+    cmocka_unit_test (test_stuck_lasting_job_is_evacuated),
     cmocka_unit_test (test_begun_or_unsure_jobs_stay),
     cmocka_unit_test (test_room_is_kept_for_short_jobs),
     cmocka_unit_test (test_room_for_a_lost_rack_is_kept),
--- a/jobs/work.c
+++ b/jobs/work.c
@@ -101,6 +101,7 @@
   work->opened = job->progress.opened;
   work->first_seen_ms = now_ms;
   work->served_ms = now_ms;
+  work->evacuate_to = -1;
   job->live = job->progress.state;
   work->begun = job->live != IVJ_QUEUED;
   for (guint i = 0; i < job->progress.open.open_len; i++)
--- a/jobs/work.h
+++ b/jobs/work.h
@@ -60,6 +60,8 @@
   gboolean begun;       /**< a task of it has started */
   gboolean inherited;   /**< a former owner may have started tasks of it */
   guint placed;         /**< tasks that run or may run */
+  gint64 stuck_ms;      /**< steady clock: since when tasks that last find no place; 0: they do */
+  gint evacuate_to;     /**< the cell that it goes to once nothing of it runs; -1: none */
   gint64 first_seen_ms; /**< steady clock */
   gint64 served_ms;     /**< steady clock: a task of it was placed until then */
   gint64 objective_ms;  /**< steady clock: the job earns less afterwards */
