Serve metrics on the platform's fleet: events, ages of beliefs, latencies

Every event is counted by its name, also what the log leaves out; histograms (GSL) of store requests, appends, first starts, takeovers and jobs; gauges are set when asked for.

--- a/base/event.c
+++ b/base/event.c
@@ -1,5 +1,7 @@
 #include "event.h"
 
+#include "counter.h"
+
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
@@ -93,9 +95,10 @@
   g_log_set_writer_func (write_line, NULL, NULL);
 }
 
-/* Lines of one kind in one second. */
+/* Lines of one kind in one second, and events of the kind ever. */
 struct budget
 {
+  struct iv_counter *events;
   gint64 second;
   guint lines;
   guint left_out;
@@ -112,14 +115,19 @@
   *left_out = 0;
   if (budget == NULL)
     {
+      char *label = g_strdup_printf ("event=\"%s\"", event);
       budget = g_new0 (struct budget, 1);
+      budget->events = iv_counter_get ("ibisvane_events_total", label,
+                                       "Events, also those that the log left out.");
+      g_free (label);
       g_hash_table_insert (budgets, g_strdup (event), budget);
     }
   if (budget->second != now_s)
     {
       *left_out = budget->left_out;
-      *budget = (struct budget){ .second = now_s };
+      *budget = (struct budget){ .events = budget->events, .second = now_s };
     }
+  iv_counter_add (budget->events, 1);
   if (budget->lines < IV_EVENT_BUDGET)
     {
       budget->lines++;
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -4,7 +4,9 @@
 #include "clock.h"
 #include "event.h"
 #include "front_task.h"
+#include "counter.h"
 #include "layout_task.h"
+#include "metrics_task.h"
 #include "names.h"
 
 #include <string.h>
@@ -418,6 +420,33 @@
   iv_deadline_set (app->deadlines, &app->sweep, (gint64)uv_now (app->loop) + SWEEP_EVERY_MS);
 }
 
+static void
+set_gauge (const char *name, const char *help, gint64 value)
+{
+  iv_gauge_set (iv_gauge_get (name, "", help), value);
+}
+
+static void
+refresh_gauges (void *context)
+{
+  struct iv_fleet_app *app = context;
+  gint64 owned = 0;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    owned += iv_cell_task_owns (app->cells[i]);
+  set_gauge ("ibisvane_cells_owned", "Cells that this host schedules.", owned);
+  set_gauge ("ibisvane_jobs_known", "Jobs in memory.", iv_book_count (app->book));
+  set_gauge ("ibisvane_requests_pending", "Requests without an answer yet.",
+             iv_front_task_pending (app->front));
+  set_gauge ("ibisvane_jobs_age_ms", "Since the jobs' stream was last read to its end.",
+             iv_stream_age_ms (app->jobs));
+  set_gauge ("ibisvane_operators_age_ms", "Since the operators' stream was last read to its end.",
+             iv_stream_age_ms (app->operators));
+  set_gauge ("ibisvane_member_age_ms", "Since the store last confirmed this host as a candidate.",
+             iv_membership_unconfirmed_ms (app->membership));
+  set_gauge ("ibisvane_config_version", "Version of the configuration in force.",
+             app->routes ? app->routes->version : 0);
+}
+
 struct iv_fleet_app *
 iv_fleet_app_new (uv_loop_t *loop, const struct iv_settings *settings)
 {
@@ -435,6 +464,10 @@
   start_cells (app);
   if (!start_front (app))
     return NULL;
+  if (settings->fleet.metrics
+      && !iv_metrics_task_start (loop, settings->fleet.metrics, refresh_gauges, app))
+    iv_event (IV_LEVEL_WARNING, "metrics.unavailable", "address=%s reason=%s",
+              settings->fleet.metrics, iv_quote (iv_last_message ()));
   app->sweep.fire = on_sweep;
   app->sweep.context = app;
   iv_deadline_set (app->deadlines, &app->sweep, (gint64)uv_now (loop) + SWEEP_EVERY_MS);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "event.h"
+#include "histogram.h"
 #include "names.h"
 
 #include <stdlib.h>
@@ -32,6 +33,7 @@
   struct iv_deadline deadline;
   char id[IV_JOB_ID_LEN + 1];
   gboolean cancel;
+  gint64 since_ms;
   GPtrArray *others; /* of struct waiting: the same job handed in again meanwhile */
 };
 
@@ -85,6 +87,7 @@
   struct waiting *waiting = g_new0 (struct waiting, 1);
   waiting->task = task;
   waiting->request = request;
+  waiting->since_ms = (gint64)uv_now (task->links.loop);
   g_strlcpy (waiting->id, id, sizeof waiting->id);
   waiting->deadline.fire = on_deadline;
   waiting->deadline.context = waiting;
@@ -122,6 +125,9 @@
   iv_event (IV_LEVEL_INFO, waiting->cancel ? "job.cancel_stored" : "job.accepted",
             "job=%s outcome=%s offset=%" G_GINT64_FORMAT, waiting->id, iv_status_name (status),
             end);
+  iv_histogram_add (iv_histogram_get ("ibisvane_store_request_ms",
+                                      "From a request to the store's answer for it."),
+                    (gint64)uv_now (waiting->task->links.loop) - waiting->since_ms);
   answer_stored (waiting, status);
   for (guint i = 0; waiting->others && i < waiting->others->len; i++)
     {
--- a/daemon/recorder.c
+++ b/daemon/recorder.c
@@ -1,6 +1,7 @@
 #include "recorder.h"
 
 #include "event.h"
+#include "histogram.h"
 
 #define APPEND_TIMEOUT_MS 1000 /* a slow store answers within a few hundred */
 #define RETRY_FIRST_MS 50
@@ -111,6 +112,9 @@
   switch (outcome)
     {
     case IV_STORE_OK:
+      iv_histogram_add (iv_histogram_get ("ibisvane_append_ms",
+                                          "From the first try of an append to its success."),
+                        (gint64)uv_now (recorder->loop) - recorder->sent_ms);
       recorder->sequence++;
       finish (recorder, IV_OK, end);
       return;
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -17,6 +17,7 @@
 #define WORKER_PORT 17942
 #define FRONT "127.0.0.1:17943"
 #define READY "127.0.0.1:17944"
+#define METRICS "127.0.0.1:17948"
 #define WAIT_MS 10000 /* before a test gives up; nothing waits for it to pass */
 #define JOB "/q/00000000000000aa"
 
@@ -34,7 +35,7 @@
       "  operators: 127.0.0.1:17946\n  peers: 127.0.0.1:17947\n"
       "platform:\n  address: 127.0.0.1:17941\n"
       "members:\n  - host: h\n    domain: a\n    peers: 127.0.0.1:17947\n"
-      "fleet:\n  jobs: " FRONT "\n  ready: " READY "\n";
+      "fleet:\n  jobs: " FRONT "\n  ready: " READY "\n  metrics: " METRICS "\n";
 
 static const char config_text[]
     = "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/q/\","
@@ -49,7 +50,7 @@
 {
   gboolean done;
   int status;
-  char body[200];
+  char body[8192];
 };
 
 static void
@@ -189,6 +190,17 @@
   ask_until (FRONT, path, "no such job", 410);
 }
 
+static void
+test_metrics_are_served (void **state)
+{
+  struct result result = ask ("GET", METRICS, "/metrics", NULL);
+  assert_int_equal (result.status, 200);
+  assert_non_null (strstr (result.body, "ibisvane_cells_owned 1\n"));
+  assert_non_null (strstr (result.body, "ibisvane_config_version 1\n"));
+  assert_non_null (strstr (result.body, "ibisvane_events_total{event=\"job.accepted\"}"));
+  assert_non_null (strstr (result.body, "ibisvane_first_start_ms_count"));
+}
+
 int
 main (void)
 {
@@ -199,6 +211,7 @@
     cmocka_unit_test (test_cancelled_job_stops),
     cmocka_unit_test (test_unknown_and_malformed),
     cmocka_unit_test (test_refused_by_the_store_is_not_accepted),
+    cmocka_unit_test (test_metrics_are_served),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/jobs/book.c
+++ b/jobs/book.c
@@ -227,3 +227,9 @@
   static const char *const names[] = { "queued", "running", "completed", "failed", "cancelled" };
   return (guint)state < G_N_ELEMENTS (names) ? names[state] : "unknown";
 }
+
+guint
+iv_book_count (const struct iv_book *book)
+{
+  return g_hash_table_size (book->jobs);
+}
--- a/jobs/book.h
+++ b/jobs/book.h
@@ -59,6 +59,9 @@
 /** Find a job; NULL when it is unknown or was never accepted. */
 struct iv_job *iv_book_find (struct iv_book *book, const char *id);
 
+/** Jobs in the book. */
+guint iv_book_count (const struct iv_book *book);
+
 /** Call @a each for every accepted job. */
 void iv_book_each (struct iv_book *book, iv_book_changed each, void *context);
 
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -2,6 +2,7 @@
 
 #include "advice.h"
 #include "event.h"
+#include "histogram.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -83,6 +84,9 @@
       work->job->live = IVJ_RUNNING;
       work->dirty = TRUE;
       iv_owner_mark (owner, work);
+      iv_histogram_add (iv_histogram_get ("ibisvane_first_start_ms",
+                                          "From reading a job to the first start of a task."),
+                        now_ms - work->first_seen_ms);
       iv_event (IV_LEVEL_INFO, "job.begun", "job=%s queue=%s worker=%s waited_ms=%" G_GINT64_FORMAT,
                 work->job->id, work->job->spec.prefix, worker->id, now_ms - work->first_seen_ms);
     }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "event.h"
+#include "histogram.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -212,6 +213,8 @@
             " objective_left_ms=%" G_GINT64_FORMAT,
             job->id, job->spec.prefix, iv_state_name (state), now_ms - work->first_seen_ms,
             work->objective_ms - now_ms);
+  iv_histogram_add (iv_histogram_get ("ibisvane_job_ms", "From reading a job to its end."),
+                    now_ms - work->first_seen_ms);
   if (work->placed > 0)
     iv_owner_stop_job (owner, job, now_ms);
   g_ptr_array_remove_fast (owner->works, work);
@@ -439,6 +442,9 @@
     {
       owner->settled = TRUE;
       owner->changed = TRUE;
+      iv_histogram_add (iv_histogram_get ("ibisvane_settle_ms",
+                                          "From owning a cell to starting everything in it."),
+                        now_ms - owner->since_ms);
       iv_event (IV_LEVEL_INFO, "owner.settled",
                 "term=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT, owner->term,
                 now_ms - owner->since_ms);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -146,6 +146,7 @@
 static const struct iv_field fleet_fields[] = {
   FIELD (iv_fleet_settings, jobs, .kind = IV_FIELD_ADDRESS, .required = TRUE),
   FIELD (iv_fleet_settings, ready, .kind = IV_FIELD_ADDRESS, .required = TRUE),
+  FIELD (iv_fleet_settings, metrics, .kind = IV_FIELD_ADDRESS),
   FIELD (iv_fleet_settings, advice, .kind = IV_FIELD_ADDRESS),
   KEYED ("lease", iv_fleet_settings, lease_ms, .kind = IV_FIELD_DURATION, .fallback = 5000,
          .min = 1000, .max = HOUR_MS),
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -105,6 +105,7 @@
   struct iv_place place;
   char *jobs;           /**< address for callers who hand in jobs */
   char *ready;          /**< address of the readiness check */
+  char *metrics;        /**< address of the metrics; NULL: they are not served */
   char *advice;         /**< address of the advice service; NULL: there is none */
   gint64 lease_ms;      /**< of what runs on a worker */
   gint64 start_ms;      /**< a worker refuses a start that arrives later */
