Add ibisvane trace: one request's story and cause from the logs of several hosts

Lines by time, what was left out in between, and a cause named from how it ended and what delayed it; text and JSON.

--- a/cli/main.c
+++ b/cli/main.c
@@ -3,6 +3,7 @@
 #include "report.h"
 #include "request.h"
 #include "settings.h"
+#include "trace.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -202,6 +203,19 @@
   return code;
 }
 
+/* Logs come by standard input, so that those of several hosts can be piped in. */
+static int
+run_trace (const struct command *command, const struct arguments *arguments, const char *argument)
+{
+  struct iv_trace *trace = iv_trace_read (stdin, argument);
+  char *text = arguments->json ? iv_trace_json (trace) : iv_trace_text (trace);
+  int code = iv_trace_lines (trace) > 0 ? EXIT_OK : EXIT_CONFLICT;
+  fputs (text, stdout);
+  g_free (text);
+  iv_trace_free (trace);
+  return code;
+}
+
 static const struct command commands[] = {
   { { "check", NULL }, 1, run_check, NULL, NULL, IV_VIEW_PLAIN },
   { { "release", "publish" }, 1, run_with_file, "POST", "/v1/releases", IV_VIEW_PLAIN },
@@ -215,6 +229,7 @@
   { { "job", "cancel" }, 1, run_plain, "POST", "/v1/jobs/%s/cancel", IV_VIEW_PLAIN },
   { { "status", NULL }, 0, run_plain, "GET", "/v1/status", IV_VIEW_STATUS },
   { { "report", NULL }, 0, run_report, "GET", "/v1/report", IV_VIEW_PLAIN },
+  { { "trace", NULL }, 1, run_trace, NULL, NULL, IV_VIEW_PLAIN },
 };
 
 static const struct command *
@@ -286,7 +301,7 @@
   parse_option,
   "check FILE\nrelease publish FILE\nrelease show\nrelease history\ndomain out NAME\ndomain in "
   "NAME\n"
-  "job submit FILE\njob list\njob show NAME\njob cancel NAME\nstatus\nreport",
+  "job submit FILE\njob list\njob show NAME\njob cancel NAME\nstatus\nreport\ntrace ID",
   "Operate ibisvane.\v"
   "Exit status: 0 done; 1 the file has findings and nothing was applied; 2 another operator was "
   "first or the object does not exist; 3 nothing was changed, the host or the log cannot be "
--- a/cli/tests/exit_codes.sh
+++ b/cli/tests/exit_codes.sh
@@ -25,6 +25,7 @@
 expect 1 "$ibisvane" check "$work/note.yaml"
 expect 1 "$ibisvane" check "$work/settings.yaml"
 expect 1 "$ibisvane" check "$work/missing.yaml"
+expect 2 "$ibisvane" trace 00000000000000aa </dev/null
 expect 3 "$ibisvane" --server 127.0.0.1:1 status
 expect 3 "$ibisvane" --server 127.0.0.1:1 domain out x
 expect 0 "$ibisvaned" --help
