--- a/rpc/rpc.h
+++ b/rpc/rpc.h
@@ -15,10 +15,6 @@
 
 #define IV_RPC_RECORD_MAX (6 * 1024 * 1024)
 
-/** Fills @a result, of the procedure's result type, from @a argument. Both are freed afterwards.
- *  Anything but IV_OK is answered with SYSTEM_ERR. */
-typedef enum iv_status (*iv_rpc_handler) (void *context, const void *argument, void *result);
-
 /** One procedure. */
 struct iv_rpc_procedure
 {
@@ -27,7 +23,9 @@
   gsize argument_size;
   iv_xdr_proc result_proc;
   gsize result_size;
-  iv_rpc_handler handler;
+  /** Fills @a result, of the procedure's result type, from @a argument. Both are freed afterwards.
+   *  Anything but IV_OK is answered with SYSTEM_ERR. */
+  enum iv_status (*handler) (void *context, const void *argument, void *result);
 };
 
 /** What a server offers. */
