Count members beside joining: a small host that cannot read the list stays a member

Found by reading: while a small host asked who is there, it did not join, and could be taken for gone within its time to live. A job that is sent away is no longer offered for recording either.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -2,9 +2,9 @@
 
 #include "cell_task.h"
 #include "clock.h"
+#include "counter.h"
 #include "event.h"
 #include "front_task.h"
-#include "counter.h"
 #include "layout_task.h"
 #include "metrics_task.h"
 #include "names.h"
--- a/daemon/membership.c
+++ b/daemon/membership.c
@@ -26,10 +26,11 @@
   gint64 sent_ms;
   gint64 sent_boot_ms;
   guint wanted;
-  gboolean small;   /* stays in reserve while it can */
-  gboolean reserve; /* in reserve: not a member */
-  gint64 count_at_ms;
-  gboolean calling;
+  gboolean small;     /* stays in reserve while it can */
+  gboolean reserve;   /* in reserve: not a member */
+  gint64 count_at_ms; /* when to count the members next */
+  gboolean counting;
+  gboolean joining;
   gboolean left;
 };
 
@@ -49,11 +50,11 @@
 on_joined (void *context, const struct iv_store_membership *answer)
 {
   struct iv_membership *membership = context;
-  membership->calling = FALSE;
+  membership->joining = FALSE;
   if (membership->left)
     return;
   next_after (membership, MAX (0, membership->sent_ms + JOIN_EVERY_MS - now_of (membership)));
-  if (answer->outcome != IV_STORE_OK)
+  if (answer->outcome != IV_STORE_OK || membership->reserve)
     return;
   membership->generation = answer->generation;
   membership->partitions = answer->partitions;
@@ -64,7 +65,9 @@
 static void
 join (struct iv_membership *membership)
 {
-  membership->calling = TRUE;
+  if (membership->joining)
+    return;
+  membership->joining = TRUE;
   membership->sent_ms = now_of (membership);
   membership->sent_boot_ms = iv_clock_boot_ms ();
   iv_store_join (membership->links.store, GROUP, membership->name,
@@ -72,30 +75,40 @@
                  membership->sent_ms + CALL_TIMEOUT_MS, on_joined, membership);
 }
 
-/* Members that are not small, each once. */
+/* Members that hold something, each once; all of them, or those that are not small. */
 static guint
-count_large (const GPtrArray *members)
+count_members (const GPtrArray *members, gboolean only_large)
 {
   GHashTable *set = g_hash_table_new (g_str_hash, g_str_equal);
   guint count;
   for (guint i = 0; i < members->len; i++)
-    if (!g_str_has_suffix (g_ptr_array_index (members, i), RESERVE_MARK))
-      g_hash_table_add (set, g_ptr_array_index (members, i));
+    {
+      const char *name = g_ptr_array_index (members, i);
+      if (!only_large || !g_str_has_suffix (name, RESERVE_MARK))
+        g_hash_table_add (set, (gpointer)name);
+    }
   count = g_hash_table_size (set);
   g_hash_table_destroy (set);
   return count;
 }
 
-static guint
-count_all (const GPtrArray *members)
+static void
+call_in (struct iv_membership *membership, guint members)
 {
-  GHashTable *set = g_hash_table_new (g_str_hash, g_str_equal);
-  guint count;
-  for (guint i = 0; i < members->len; i++)
-    g_hash_table_add (set, g_ptr_array_index (members, i));
-  count = g_hash_table_size (set);
-  g_hash_table_destroy (set);
-  return count;
+  iv_event (IV_LEVEL_INFO, "member.called_in", "members=%u wanted=%u", members, membership->wanted);
+  membership->reserve = FALSE;
+  join (membership);
+}
+
+static void
+stand_down (struct iv_membership *membership, guint large)
+{
+  iv_event (IV_LEVEL_INFO, "member.stood_down", "large=%u", large);
+  membership->reserve = TRUE;
+  membership->partitions = 0;
+  membership->links.stood_down (membership->links.context);
+  iv_store_leave (membership->links.store, GROUP, membership->name,
+                  now_of (membership) + LEAVE_TIMEOUT_MS);
 }
 
 /* A small host joins while there are too few members, and leaves once large ones suffice. */
@@ -103,46 +116,38 @@
 on_counted (void *context, const GPtrArray *members)
 {
   struct iv_membership *membership = context;
-  membership->calling = FALSE;
-  if (membership->left)
+  membership->counting = FALSE;
+  if (membership->left || members == NULL)
     return;
-  next_after (membership, RESERVE_EVERY_MS + g_random_int_range (0, RESERVE_EVERY_MS / 2));
-  if (members == NULL)
+  if (membership->reserve && count_members (members, FALSE) < membership->wanted)
+    call_in (membership, count_members (members, FALSE));
+  else if (!membership->reserve && count_members (members, TRUE) >= membership->wanted)
+    stand_down (membership, count_members (members, TRUE));
+}
+
+static void
+count (struct iv_membership *membership)
+{
+  if (membership->counting || now_of (membership) < membership->count_at_ms)
     return;
-  if (membership->reserve && count_all (members) < membership->wanted)
-    {
-      iv_event (IV_LEVEL_INFO, "member.called_in", "members=%u wanted=%u", count_all (members),
-                membership->wanted);
-      membership->reserve = FALSE;
-      join (membership);
-    }
-  else if (!membership->reserve && count_large (members) >= membership->wanted)
-    {
-      iv_event (IV_LEVEL_INFO, "member.stood_down", "large=%u", count_large (members));
-      membership->reserve = TRUE;
-      membership->partitions = 0;
-      membership->links.stood_down (membership->links.context);
-      iv_store_leave (membership->links.store, GROUP, membership->name,
-                      now_of (membership) + LEAVE_TIMEOUT_MS);
-    }
-  else if (!membership->reserve)
-    join (membership);
+  membership->counting = TRUE;
+  membership->count_at_ms
+      = now_of (membership) + RESERVE_EVERY_MS + g_random_int_range (0, RESERVE_EVERY_MS / 2);
+  iv_membership_list (membership, on_counted, membership);
 }
 
 static void
 on_next (void *context)
 {
   struct iv_membership *membership = context;
-  if (membership->calling || membership->left)
+  if (membership->joining || membership->left)
     return;
-  if (!membership->small || (!membership->reserve && now_of (membership) < membership->count_at_ms))
-    {
-      join (membership);
-      return;
-    }
-  membership->calling = TRUE;
-  membership->count_at_ms = now_of (membership) + RESERVE_EVERY_MS;
-  iv_membership_list (membership, on_counted, membership);
+  if (membership->small)
+    count (membership);
+  if (membership->reserve)
+    next_after (membership, JOIN_EVERY_MS);
+  else
+    join (membership);
 }
 
 struct iv_membership *
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -4,8 +4,7 @@
 
 #define MOVES_EVERY_MS 100
 #define WAITED_MS 150 /* a move takes about 100 */
-#define STUCK_MS                                                                                   \
-  1000 /* tasks that last must not wait 3 s for a place: the platform's page on rules */
+#define STUCK_MS 1000 /* tasks that last must not wait 3 s for a place */
 
 /* Nobody has started, or can have started, a task of it. */
 static gboolean
@@ -40,6 +39,7 @@
   struct iv_job *job = work->job;
   iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%u", job->id, cell);
   g_ptr_array_remove_fast (owner->works, work);
+  g_ptr_array_remove_fast (owner->dirty, job);
   iv_work_free (work);
   job->leaving = TRUE;
   owner->effects.move_job (owner->effects.context, job, cell);
@@ -51,7 +51,6 @@
   gint cell = need > 0 ? owner->effects.roomier_cell (owner->effects.context, need, kind) : -1;
   if (cell < 0)
     return FALSE;
-  g_ptr_array_remove_fast (owner->dirty, work->job);
   send_away (owner, work, (guint)cell);
   return TRUE;
 }
