--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -119,7 +119,7 @@
 iv_owner_work (struct iv_owner *owner, const struct iv_task_name *name)
 {
   struct iv_job *job = iv_book_find (owner->book, name->job);
-  return job ? job->work : NULL;
+  return job && job->work && job->work->owner == owner ? job->work : NULL;
 }
 
 void
@@ -258,15 +258,21 @@
     return;
   if (!owner->effects.owns_job (owner->effects.context, job))
     {
-      if (work)
+      if (work && work->owner == owner)
         withdraw (owner, work, now_ms);
       return;
     }
+  if (work && work->owner != owner)
+    {
+      withdraw (work->owner, work, now_ms);
+      work = NULL;
+    }
   if (work == NULL)
     {
       if (iv_state_ended (job->progress.state) || iv_state_ended (job->live))
         return;
       work = iv_work_new (job, now_ms);
+      work->owner = owner;
       work->inherited = owner->inheriting;
       g_ptr_array_add (owner->works, work);
       set_objective (owner, work);
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -125,6 +125,35 @@
   bench_free (bench);
 }
 
+static gboolean
+owns_nothing (void *context, const struct iv_job *job)
+{
+  return FALSE;
+}
+
+/* A host that gains a second cell leaves the jobs of the first alone. */
+static void
+test_owners_of_one_host_keep_apart (void **state)
+{
+  struct bench *bench = bench_new (2);
+  struct iv_owner_effects effects = { .owns_job = owns_nothing };
+  struct iv_owner *second;
+  struct iv_job *job;
+  bench_own (bench);
+  bench_make_job (2, 0);
+  bench_submit (bench, JOB, &bench_spec);
+  bench_run_for (bench, 100);
+  second = iv_owner_new (bench->book, 7, &bench->limits, &effects, bench->now_ms, bench->wall_ms);
+  job = iv_book_find (bench->book, JOB);
+  iv_owner_job (second, job, bench->now_ms);
+  assert_non_null (job->work);
+  bench_end_all (bench, IV_END_DONE);
+  bench_run_for (bench, 300);
+  assert_int_equal (bench_state (bench, JOB), IVJ_COMPLETED);
+  iv_owner_free (second);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -134,6 +163,7 @@
     cmocka_unit_test (test_stuck_lasting_job_is_evacuated),
     cmocka_unit_test (test_moved_job_handed_in_again_stays_away),
     cmocka_unit_test (test_begun_or_unsure_jobs_stay),
+    cmocka_unit_test (test_owners_of_one_host_keep_apart),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/jobs/work.h
+++ b/jobs/work.h
@@ -54,6 +54,7 @@
 struct iv_work
 {
   struct iv_job *job;
+  struct iv_owner *owner; /**< a host may own several cells */
   GPtrArray *open;      /**< of struct iv_occurrence, by number */
   guint opened;         /**< occurrences opened so far */
   gboolean dirty;       /**< its progress is to be recorded */
