--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -12,6 +12,7 @@
 #define LOAD_EVERY_MS 500 /* other cells send jobs by it, hosts refuse jobs by it */
 #define WORKERS_GAP_MS 250
 #define WORKERS_WAIT_MS 1000
+#define WORKERS_HISTORY 12 /* workers write about every second: longer than the horizon */
 #define JOBS_GAP_OWNER_MS                                                                          \
   10 /* the owner learns of new jobs by reading; for each cell, as reads are priced */
 #define JOBS_GAP_OWNER_MAX_MS 40
@@ -442,7 +443,7 @@
   struct iv_stream_options options = { .topic = IV_TOPIC_WORKERS,
                                        .wait_ms = WORKERS_WAIT_MS,
                                        .gap_ms = WORKERS_GAP_MS,
-                                       .history = TRUE,
+                                       .history = WORKERS_HISTORY,
                                        .fold = on_worker,
                                        .loaded = on_workers_loaded,
                                        .context = task };
--- a/daemon/layout_task.c
+++ b/daemon/layout_task.c
@@ -145,7 +145,8 @@
       return;
     }
   iv_event (IV_LEVEL_INFO, "layout.known", "cells=%u", iv_layout_cells (task->layout));
-  iv_membership_expect_cells (task->links.membership, iv_layout_cells (task->layout));
+  iv_membership_expect (task->links.membership, iv_layout_cells (task->layout),
+                        iv_layout_cell_workers (task->layout));
   iv_stream_close (task->workers);
   task->workers = NULL;
   g_hash_table_remove_all (task->racks);
--- a/daemon/membership.c
+++ b/daemon/membership.c
@@ -13,7 +13,8 @@
 #define RESERVE_FIRST_MS 2500   /* larger hosts join before */
 #define RESERVE_EVERY_MS 2000   /* calls are priced */
 #define RESERVE_MARK "/reserve" /* at the end of a small host's name as a member */
-#define MEMBERS_LEAST 3         /* one may fail while another is stopped */
+#define OVERLOAD_TIMES 2 /* a host goes on with a cell of twice the size that it should have */
+#define MEMBERS_LEAST 3  /* one may fail while another is stopped */
 
 struct iv_membership
 {
@@ -193,9 +194,11 @@
 }
 
 void
-iv_membership_expect_cells (struct iv_membership *membership, guint cells)
+iv_membership_expect (struct iv_membership *membership, guint cells, guint workers)
 {
-  membership->wanted = MAX (MEMBERS_LEAST, (cells + 1) / 2);
+  const struct iv_fleet_settings *settings = membership->links.settings;
+  gint64 carried = settings->cpu_milli * settings->core_workers / 1000;
+  membership->wanted = workers <= carried * OVERLOAD_TIMES ? MAX (MEMBERS_LEAST, cells) : 1;
 }
 
 void
--- a/daemon/membership.h
+++ b/daemon/membership.h
@@ -47,8 +47,9 @@
  *  sent: others replace a member that is silent for longer than its time to live. */
 gint64 iv_membership_unconfirmed_ms (const struct iv_membership *membership);
 
-/** The fleet has so many cells: reserves join while fewer hosts than it needs are members. */
-void iv_membership_expect_cells (struct iv_membership *membership, guint cells);
+/** The fleet has @a cells of @a workers each. A small host that can carry one joins while there are
+ *  fewer members than cells; one that cannot, only while there are none. */
+void iv_membership_expect (struct iv_membership *membership, guint cells, guint workers);
 
 /** Read all members that hold something. */
 void iv_membership_list (struct iv_membership *membership, iv_store_members_done done,
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -27,7 +27,7 @@
   GArray *served;     /* of struct barrier: served by the read in progress */
   char *after;        /* last key of the page before */
   gboolean loaded;
-  gboolean history; /* the retained records are being read */
+  gboolean history; /* records before the newest are being read, up to `newest_end` */
   gboolean reading;
   gboolean closed;
   gboolean lost; /* the store is not answering */
@@ -130,18 +130,31 @@
   stream->newest = NULL;
 }
 
+static void
+begin_following (struct iv_stream *stream)
+{
+  stream->history = FALSE;
+  stream->loaded = TRUE;
+  if (stream->options.loaded)
+    stream->options.loaded (stream->options.context);
+}
+
 static void
 finish_load (struct iv_stream *stream)
 {
+  gint64 lately
+      = stream->newest_end - (gint64)stream->options.history * g_hash_table_size (stream->keys);
   drop_missing (stream);
   g_clear_pointer (&stream->after, g_free);
   stream->position = stream->newest_end;
-  stream->loaded = TRUE;
-  if (stream->options.loaded)
-    stream->options.loaded (stream->options.context);
+  stream->history = stream->options.history > 0 && lately < stream->newest_end;
+  if (stream->history)
+    stream->position = MAX (lately, 0);
+  else
+    begin_following (stream);
 }
 
-/* What is retained is folded from its oldest record on, before the newest of each key. */
+/* What was dropped lately is among the records before the newest; those are folded once more. */
 static void
 on_history (void *context, const struct iv_store_records *records)
 {
@@ -160,8 +173,13 @@
   note_success (stream);
   for (guint i = 0; i < records->rows->len; i++)
     fold (stream, &g_array_index (records->rows, struct iv_store_record, i));
-  stream->history = records->outcome == IV_STORE_EXPIRED || records->next < records->end;
-  stream->position = records->outcome == IV_STORE_EXPIRED ? records->first : records->next;
+  if (records->outcome == IV_STORE_EXPIRED)
+    stream->position = MAX (records->first, stream->position + 1);
+  else
+    stream->position = records->next;
+  if (stream->position >= stream->newest_end
+      || (records->outcome == IV_STORE_OK && records->rows->len == 0))
+    begin_following (stream);
   read_after (stream, 0);
 }
 
@@ -284,7 +302,6 @@
   stream->deadlines = deadlines;
   stream->store = store;
   stream->options = *options;
-  stream->history = options->history;
   stream->topic = g_strdup (options->topic);
   stream->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   stream->barriers = g_array_new (FALSE, FALSE, sizeof (struct barrier));
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -19,7 +19,8 @@
   const char *topic; /**< copied */
   gint64 wait_ms;    /**< for which a read waits for a record */
   gint64 gap_ms;     /**< between two reads: reads are priced */
-  gboolean history;  /**< begin with the oldest retained record: what was dropped lately is told */
+  guint history;     /**< fold so many records a key before the newest once more, so that what was
+                          dropped lately is told; 0: none */
   iv_stream_fold fold;
   iv_stream_ready loaded; /**< after every whole reading of the newest; may be NULL */
   void *context;
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -67,7 +67,7 @@
 }
 
 static struct iv_stream *
-follow (gboolean history)
+follow (guint history)
 {
   struct iv_stream_options options
       = { .topic = TOPIC, .gap_ms = 5, .history = history, .fold = on_fold, .loaded = on_loaded };
@@ -96,7 +96,7 @@
   struct iv_stream *stream;
   store_standin_put (standin, TOPIC, "a", "1");
   store_standin_put (standin, TOPIC, "a", "2");
-  stream = follow (FALSE);
+  stream = follow (0);
   run_until_value ("a", "2");
   assert_int_equal (folds, 1);
   store_standin_put (standin, TOPIC, "b", "3");
@@ -113,7 +113,7 @@
 {
   struct iv_stream *stream;
   store_standin_put (standin, TOPIC, "a", "1");
-  stream = follow (FALSE);
+  stream = follow (0);
   run_until_value ("a", "1");
   store_standin_put (standin, TOPIC, "a", NULL);
   store_standin_put (standin, TOPIC, "b", "2");
@@ -131,9 +131,13 @@
   store_standin_put (standin, TOPIC, "a", "1");
   store_standin_put (standin, TOPIC, "a", NULL);
   store_standin_put (standin, TOPIC, "b", "2");
-  stream = follow (TRUE);
-  run_until_value ("b", "2");
-  assert_int_equal (folds, 4);
+  stream = follow (12);
+  for (guint i = 0; i < 1000 && loads == 0; i++)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (loads, 1);
+  assert_int_equal (folds, 4); /* the newest of "b", then all three */
+  assert_true (has_value ("a", NULL));
+  assert_true (has_value ("b", "2"));
   iv_stream_close (stream);
 }
 
@@ -142,7 +146,7 @@
 {
   struct iv_stream *stream;
   standin->refuse = TRUE;
-  stream = follow (FALSE);
+  stream = follow (0);
   for (guint i = 0; i < 20; i++)
     uv_run (loop, UV_RUN_ONCE);
   assert_false (iv_stream_loaded (stream));
--- a/jobs/layout.c
+++ b/jobs/layout.c
@@ -10,6 +10,7 @@
 struct iv_layout
 {
   guint cells;
+  guint workers;
   GHashTable *racks; /* name to cell + 1 */
 };
 
@@ -91,7 +92,7 @@
     g_ptr_array_add (sorted, g_ptr_array_index (list->racks, i));
   g_ptr_array_sort (sorted, compare_racks);
   record = g_string_new (NULL);
-  g_string_printf (record, "%u", cells);
+  g_string_printf (record, "%u %u", cells, list->workers);
   for (guint i = 0; i < sorted->len; i++)
     g_string_append_printf (record, "\n%u %s", i % cells,
                             ((struct rack *)g_ptr_array_index (sorted, i))->name);
@@ -110,16 +111,29 @@
   return TRUE;
 }
 
+/* The first line: cells and workers. */
+static gboolean
+read_sizes (struct iv_layout *layout, const char *line)
+{
+  char **words = g_strsplit (line, " ", 0);
+  guint64 cells = 0;
+  guint64 workers = 0;
+  gboolean ok = g_strv_length (words) == 2
+                && g_ascii_string_to_unsigned (words[0], 10, 1, IV_CELLS_MAX, &cells, NULL)
+                && g_ascii_string_to_unsigned (words[1], 10, 0, G_MAXINT, &workers, NULL);
+  layout->cells = (guint)cells;
+  layout->workers = (guint)workers;
+  g_strfreev (words);
+  return ok;
+}
+
 struct iv_layout *
 iv_layout_read (const char *record, gsize len)
 {
   struct iv_layout *layout = g_new0 (struct iv_layout, 1);
   char *text = g_strndup (record, len);
   char **lines = g_strsplit (text, "\n", 0);
-  guint64 cells = 0;
-  gboolean ok
-      = lines[0] && g_ascii_string_to_unsigned (lines[0], 10, 1, IV_CELLS_MAX, &cells, NULL);
-  layout->cells = (guint)cells;
+  gboolean ok = lines[0] && read_sizes (layout, lines[0]);
   layout->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 1; ok && lines[i]; i++)
     ok = read_rack (layout, lines[i]);
@@ -147,6 +161,12 @@
   return layout->cells;
 }
 
+guint
+iv_layout_cell_workers (const struct iv_layout *layout)
+{
+  return layout->workers / layout->cells;
+}
+
 guint
 iv_layout_worker_cell (const struct iv_layout *layout, const char *rack)
 {
--- a/jobs/layout.h
+++ b/jobs/layout.h
@@ -38,6 +38,9 @@
 /** Number of cells. */
 guint iv_layout_cells (const struct iv_layout *layout);
 
+/** Workers of a cell, on average, when the fleet was dealt. */
+guint iv_layout_cell_workers (const struct iv_layout *layout);
+
 /** The cell of a worker in @a rack, also of one that came after the layout. */
 guint iv_layout_worker_cell (const struct iv_layout *layout, const char *rack);
 
--- a/jobs/tests/layout_test.c
+++ b/jobs/tests/layout_test.c
@@ -49,6 +49,7 @@
   struct iv_layout *layout = deal (fleet (3, 14, 12), 80);
   guint cells = iv_layout_cells (layout);
   assert_int_equal (cells, 6);
+  assert_int_equal (iv_layout_cell_workers (layout), 84);
   for (guint domain = 0; domain < 3; domain++)
     {
       guint racks[IV_CELLS_MAX] = { 0 };
@@ -93,7 +94,8 @@
 static void
 test_malformed_records_are_refused (void **state)
 {
-  static const char *const bad[] = { "", "x", "0", "25", "2\n5 r", "2\n1", "2\n1 a\n", "-1" };
+  static const char *const bad[]
+      = { "", "x", "0 9", "25 9", "2", "2 9\n5 r", "2 9\n1", "2 9\n1 a\n", "-1 9", "2 9 9" };
   for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
     assert_null (iv_layout_read (bad[i], strlen (bad[i])));
 }
