Let hosts that own no cell take vacant ones, and ask for one where a host owns several

Change: an owner of several cells hands one over when a member owns none; a vacant cell goes to the holder of its partition if that is idle, after half a second to any idle host, after three seconds to a busy holder.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -7,7 +7,9 @@
 
 #define CLAIM_TIMEOUT_MS 1000
 #define HANDOVER_TIMEOUT_MS 500
-#define RELEASED_FOR_MS 2000 /* unless nobody took the cell by then */
+#define RELEASED_FOR_MS 4000 /* unless nobody took the cell by then */
+#define VACANT_IDLE_MS 500   /* the holder of the partition goes first when it owns no cell */
+#define VACANT_BUSY_MS 3000  /* any host that owns no cell goes first */
 
 static void
 on_caught_up (void *context)
@@ -103,19 +105,32 @@
   claim (task);
 }
 
+/* Nobody owns the cell. Whoever holds its partition claims it, but one that owns another cell lets
+   idle hosts go first. */
+static void
+claim_vacant (struct iv_cell_task *task)
+{
+  gboolean holds = iv_membership_holds (task->links.membership, task->cell);
+  gboolean idle = task->links.is_idle (task->links.context);
+  gint64 now = iv_cell_now (task);
+  gint64 wait_ms = holds && idle ? 0 : idle ? VACANT_IDLE_MS : VACANT_BUSY_MS;
+  if (task->vacant_ms == 0)
+    task->vacant_ms = now;
+  if ((holds || idle) && now >= task->vacant_ms + wait_ms)
+    claim (task);
+}
+
 /* Whoever holds the cell's partition replaces an owner that is no member any more. */
 void
 iv_cell_task_confirmed (struct iv_cell_task *task)
 {
   if (!may_claim (task) || task->claiming || task->asking)
     return;
-  if (strcmp (task->incumbent, iv_membership_name (task->links.membership)) == 0)
+  if (*task->incumbent == '\0')
+    claim_vacant (task);
+  else if (strcmp (task->incumbent, iv_membership_name (task->links.membership)) == 0)
     claim (task);
-  else if (!iv_membership_holds (task->links.membership, task->cell))
-    return;
-  else if (*task->incumbent == '\0')
-    claim (task);
-  else
+  else if (iv_membership_holds (task->links.membership, task->cell))
     {
       task->asking = TRUE;
       iv_membership_list (task->links.membership, on_members, task);
@@ -131,6 +146,7 @@
   if (term > task->incumbent_term && *member == ' ')
     {
       task->incumbent_term = term;
+      task->vacant_ms = 0;
       g_free (task->incumbent);
       task->incumbent = g_strdup (member + 1);
       if (task->owner && term > task->term)
@@ -180,15 +196,26 @@
   g_ptr_array_free (ids, TRUE);
 }
 
-gboolean
+void
 iv_cell_task_release (struct iv_cell_task *task)
 {
-  if (task->owner == NULL || iv_membership_holds (task->links.membership, task->cell))
-    return FALSE;
+  if (task->owner == NULL)
+    return;
   hand_over (task);
   iv_cell_lose (task, "released");
   task->claim_after_ms = iv_cell_now (task) + RELEASED_FOR_MS;
-  return TRUE;
+}
+
+gboolean
+iv_cell_task_is_by (const struct iv_cell_task *task, const char *member)
+{
+  return strcmp (task->incumbent, member) == 0;
+}
+
+gboolean
+iv_cell_task_claims (const struct iv_cell_task *task)
+{
+  return task->claiming;
 }
 
 void
--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -29,6 +29,7 @@
   gint64 term;
   gint64 since_ms;       /* when ownership began */
   gint64 claim_after_ms; /* no claim before: the cell was released to another host */
+  gint64 vacant_ms;      /* since when nobody owns it, as far as this host can tell; 0: unknown */
   struct iv_worker_calls *calls;
   struct iv_recorder *recorder;
   struct iv_stream *workers;
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -28,6 +28,8 @@
   const struct iv_layout *(*layout) (void *context); /**< NULL while it is not known */
   const struct iv_routes *(*routes) (void *context);
   gboolean (*domain_open) (void *context, const char *domain);
+  /** Whether this host owns no cell and claims none. */
+  gboolean (*is_idle) (void *context);
   /** Another cell than @a cell that has much more room of a kind than @a cpu_milli; -1: none. */
   gint (*roomier_cell) (void *context, guint cell, gint64 cpu_milli, enum iv_room_kind kind);
 };
@@ -56,9 +58,14 @@
 gboolean iv_cell_task_owns (const struct iv_cell_task *task);
 gint64 iv_cell_task_owned_ms (const struct iv_cell_task *task);
 
-/** Hand the cell to the member that holds its partition now. FALSE when it is not owned here, or
- * the partition is. */
-gboolean iv_cell_task_release (struct iv_cell_task *task);
+/** Hand the cell to whoever takes it. Nothing where it is not owned. */
+void iv_cell_task_release (struct iv_cell_task *task);
+
+/** Whether the newest claim of the cell is by @a member. */
+gboolean iv_cell_task_is_by (const struct iv_cell_task *task, const char *member);
+
+/** Whether a claim of this host is on its way. */
+gboolean iv_cell_task_claims (const struct iv_cell_task *task);
 
 /** Give the cell up for good. */
 void iv_cell_task_resign (struct iv_cell_task *task);
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -21,6 +21,7 @@
 #define ACCEPT_DOUBT_MS 2500  /* callers wait about this long */
 #define LEAVE_UNREADY_MS 2500 /* the balancer needs two misses, a second apart */
 #define LEAVE_TICK_MS 50
+#define SHARE_EVERY_MS 2000
 #define RELEASE_AFTER_MS 5000 /* a change of owner costs the cell about a second */
 #define LOAD_VALID_MS 2000    /* cells tell their room every half second */
 #define LEVEL_TIMES 1         /* of a job that lasts: cells differ by no more */
@@ -51,6 +52,8 @@
   struct iv_layout_task *layout;
   struct iv_cell_task *cells[IV_CELLS_MAX];
   struct cell_load loads[IV_CELLS_MAX];
+  gboolean sharing;   /* the members are being read, to share cells with them */
+  gint64 share_at_ms; /* when to do so next */
   struct iv_front_task *front;
   struct iv_deadline tick;
   struct iv_deadline sweep;
@@ -281,17 +284,54 @@
   app->operators = iv_stream_new (app->loop, app->deadlines, app->store, &operators);
 }
 
+static gboolean
+is_idle (void *context)
+{
+  struct iv_fleet_app *app = context;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    if (iv_cell_task_owns (app->cells[i]) || iv_cell_task_claims (app->cells[i]))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+owns_any (const struct iv_fleet_app *app, const char *member)
+{
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    if (iv_cell_task_is_by (app->cells[i], member))
+      return TRUE;
+  return FALSE;
+}
+
 /* After trouble one host may own several cells while others own none. */
+static void
+on_members (void *context, const GPtrArray *members)
+{
+  struct iv_fleet_app *app = context;
+  gboolean others_idle = FALSE;
+  app->sharing = FALSE;
+  for (guint i = 0; members && i < members->len; i++)
+    others_idle |= !owns_any (app, g_ptr_array_index (members, i));
+  for (guint i = 0; others_idle && i < IV_CELLS_MAX; i++)
+    if (iv_cell_task_owned_ms (app->cells[i]) > RELEASE_AFTER_MS)
+      {
+        iv_cell_task_release (app->cells[i]);
+        return;
+      }
+}
+
 static void
 share_cells (struct iv_fleet_app *app)
 {
+  gint64 now = (gint64)uv_now (app->loop);
   guint owned = 0;
   for (guint i = 0; i < IV_CELLS_MAX; i++)
     owned += iv_cell_task_owns (app->cells[i]);
-  for (guint i = 0; owned > 1 && i < IV_CELLS_MAX; i++)
-    if (iv_cell_task_owned_ms (app->cells[i]) > RELEASE_AFTER_MS
-        && iv_cell_task_release (app->cells[i]))
-      return;
+  if (owned < 2 || app->sharing || now < app->share_at_ms)
+    return;
+  app->sharing = TRUE;
+  app->share_at_ms = now + SHARE_EVERY_MS;
+  iv_membership_list (app->membership, on_members, app);
 }
 
 static void
@@ -348,6 +388,7 @@
                                  .layout = layout_of,
                                  .routes = routes_of,
                                  .domain_open = domain_open,
+                                 .is_idle = is_idle,
                                  .roomier_cell = roomier_cell };
   links.workers = iv_http_client_new (app->loop, app->deadlines, CALL_SILENCE_MS, 4 * MIB);
   for (guint i = 0; i < IV_CELLS_MAX; i++)
