--- a/jobs/work.h
+++ b/jobs/work.h
@@ -55,18 +55,18 @@
 {
   struct iv_job *job;
   struct iv_owner *owner; /**< a host may own several cells */
-  GPtrArray *open;      /**< of struct iv_occurrence, by number */
-  guint opened;         /**< occurrences opened so far */
-  gboolean dirty;       /**< its progress is to be recorded */
-  gboolean begun;       /**< a task of it has started */
-  gboolean inherited;   /**< a former owner may have started tasks of it */
-  guint placed;         /**< tasks that run or may run */
-  gint64 stuck_ms;      /**< steady clock: since when tasks that last find no place; 0: they do */
-  gint evacuate_to;     /**< the cell that it goes to once nothing of it runs; -1: none */
-  gint64 first_seen_ms; /**< steady clock */
-  gint64 served_ms;     /**< steady clock: a task of it was placed until then */
-  gint64 objective_ms;  /**< steady clock: the job earns less afterwards */
-  gint64 worthless_ms;  /**< steady clock: the job earns nothing afterwards */
+  GPtrArray *open;        /**< of struct iv_occurrence, by number */
+  guint opened;           /**< occurrences opened so far */
+  gboolean dirty;         /**< its progress is to be recorded */
+  gboolean begun;         /**< a task of it has started */
+  gboolean inherited;     /**< a former owner may have started tasks of it */
+  guint placed;           /**< tasks that run or may run */
+  gint64 stuck_ms;        /**< steady clock: since when tasks that last find no place; 0: they do */
+  gint evacuate_to;       /**< the cell that it goes to once nothing of it runs; -1: none */
+  gint64 first_seen_ms;   /**< steady clock */
+  gint64 served_ms;       /**< steady clock: a task of it was placed until then */
+  gint64 objective_ms;    /**< steady clock: the job earns less afterwards */
+  gint64 worthless_ms;    /**< steady clock: the job earns nothing afterwards */
 };
 
 /** Unpack the progress of @a job into a new part, attached to the job. */
