Order on-time jobs by remaining work; halt best-effort work by the harm bound

Under overload, earliest deadline first lets each job miss its objective by a little; and every best-effort task beside a service that is over its target was halted after 1.2 s, also those that are known not to interfere. Change: the order of waiting jobs is a module of its own, queue_order, which puts the least remaining work first among jobs that can meet their objective (Smith's rule). A halt of all comes 1.5 s before the bound that the platform sets (harm). A halted task is moved after 250 ms instead of 500.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -440,6 +440,7 @@
                                     .start_ms = settings->start_window_ms,
                                     .horizon_ms = settings->horizon_ms,
                                     .evidence_max_age_ms = settings->evidence_max_age_ms,
+                                    .harm_ms = settings->harm_ms,
                                     .spare_rack = iv_layout_cells (layout) > 1 };
   struct iv_owner_effects effects = { .context = task,
                                       .start = send_start,
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -3,6 +3,7 @@
 #include "advice.h"
 #include "event.h"
 #include "histogram.h"
+#include "queue_order.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -16,39 +17,31 @@
 {
   struct iv_job_exec *exec;
   struct iv_queue_policy policy;
-  guint rank;          /* of enum rank, lower first */
-  gint64 objective_ms; /* earliest first within a rank and priority */
+  struct iv_queue_item item;
+  enum iv_queue_class class;
 };
 
-enum rank
-{
-  RANK_LONG_RUNNING, /* has value for every second that it runs */
-  RANK_ON_TIME,      /* can still meet its objective */
-  RANK_LATE,         /* missed its objective: has reduced value */
-  RANK_ZERO_UTILITY, /* has no value any more, but still has to run */
-};
-
-static guint
-rank_of (const struct iv_job_exec *exec, gint64 now_ms)
-{
-  if (iv_job_is_long_running (&exec->job->spec))
-    return RANK_LONG_RUNNING;
-  if (exec->objective_ms == 0
-      || now_ms + (exec->placed > 0 ? 0 : iv_job_exec_remaining_ms (exec)) <= exec->objective_ms)
-    return RANK_ON_TIME;
-  return now_ms <= exec->zero_utility_ms ? RANK_LATE : RANK_ZERO_UTILITY;
-}
-
 static gint
 compare_candidates (gconstpointer a, gconstpointer b)
 {
   const struct candidate *x = a;
   const struct candidate *y = b;
-  if (x->rank != y->rank)
-    return x->rank < y->rank ? -1 : 1;
-  if (x->policy.priority != y->policy.priority)
-    return x->policy.priority < y->policy.priority ? -1 : 1;
-  return x->objective_ms < y->objective_ms ? -1 : x->objective_ms > y->objective_ms;
+  return iv_queue_compare (&x->item, x->class, &y->item, y->class);
+}
+
+static void
+set_order (struct candidate *candidate, gint64 now_ms)
+{
+  const struct iv_job_exec *exec = candidate->exec;
+  candidate->item = (struct iv_queue_item){
+    .long_running = iv_job_is_long_running (&exec->job->spec),
+    .priority = candidate->policy.priority,
+    .objective_ms = exec->objective_ms,
+    .zero_utility_ms = exec->zero_utility_ms,
+    .path_ms = exec->placed > 0 ? 0 : iv_job_exec_remaining_ms (exec),
+    .work = iv_job_exec_remaining_work (exec),
+  };
+  candidate->class = iv_queue_classify (&candidate->item, now_ms);
 }
 
 static gboolean
@@ -297,8 +290,7 @@
         continue;
       if (candidate.exec->placed > 0)
         candidate.exec->last_placed_ms = now_ms;
-      candidate.rank = rank_of (candidate.exec, now_ms);
-      candidate.objective_ms = candidate.exec->objective_ms;
+      set_order (&candidate, now_ms);
       g_array_append_val (candidates, candidate);
     }
   g_array_sort (candidates, compare_candidates);
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -350,6 +350,23 @@
   return longest;
 }
 
+gint64
+iv_job_exec_remaining_work (const struct iv_job_exec *exec)
+{
+  gint64 work = 0;
+  for (guint i = 0; i < exec->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
+      for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
+        {
+          const struct iv_stage *stage = &occurrence->stages[j];
+          work += (gint64)stage->step->cpu_milli * (gint64)stage->step->estimate_ms
+                  * (stage->step->count - stage->done) / 1000;
+        }
+    }
+  return work;
+}
+
 gboolean
 iv_job_is_long_running (const ivj_job *spec)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -115,6 +115,9 @@
 /** Length of the longest remaining critical path among the open occurrences, milliseconds. */
 gint64 iv_job_exec_remaining_ms (const struct iv_job_exec *exec);
 
+/** Estimated work of the unfinished tasks of the open occurrences, core-milliseconds. */
+gint64 iv_job_exec_remaining_work (const struct iv_job_exec *exec);
+
 /** Cores, in thousandths, that the long-running steps of @a spec reserve; best-effort steps reserve
  *  none. */
 gint64 iv_job_long_running_milli (const ivj_job *spec);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -111,6 +111,8 @@
   gint64 horizon_ms; /**< after this, no run of a previous owner exists on a silent worker */
   /** No task starts when the state of the failure domains is older than this. */
   gint64 evidence_max_age_ms;
+  /** Best-effort tasks must not keep a tail latency over its target for longer than this. */
+  gint64 harm_ms;
   /** Reserve capacity for the loss of a rack: other cells cannot take over long-running jobs. */
   gboolean spare_rack;
 };
--- a/jobs/sharing.c
+++ b/jobs/sharing.c
@@ -9,15 +9,15 @@
 #define CPU_LIMIT_MIN_PERCENT 20
 /* Best-effort tasks are throttled to keep tail latencies below this share of the target. */
 #define TAIL_LIMIT 0.95
-/* A tail latency over its target for this long halts every best-effort task on the worker, whether
-   it is known to interfere or not. */
-#define OVER_TARGET_MAX_MS 1200
+/* From a halt of every best-effort task on a worker until the tail latencies on it show it: one poll,
+   the interval that a tail latency covers, and the call. */
+#define HALT_REACTION_MS 1500
 /* Added tail latency, as a share of the baseline and for use of a whole host, above which a task is
    throttled: most pairs are near 0.2, or above 4. */
 #define THROTTLE_INTERFERENCE 1.0
 /* Added tail latency, as a share of the baseline, below which placement ignores it. */
 #define NEGLIGIBLE_INTERFERENCE 0.02
-#define HALTED_MAX_MS 500    /* after this, a halted task that saves its progress is moved */
+#define HALTED_MAX_MS 250    /* after this, a halted task that saves its progress is moved */
 #define BEST_EFFORT_USE 0.85 /* share of its declared cores that a task uses, if unknown */
 #define BASELINE_GAIN 0.4    /* weight of a new observation of the baseline */
 /* Lowers the gain, per share of the host that best-effort tasks on it use. */
@@ -45,6 +45,17 @@
   return run->phase == IV_RUN_PHASE_RUNNING && run->step && run->step->target_ms > 0;
 }
 
+/* Whether the tail latency of @a run stays over its target although the tasks that are known to
+   interfere are throttled. Then every best-effort task on the worker is halted, in time for the
+   tail latency to fall before the longest time that it may stay over its target. */
+static gboolean
+is_harmed (const struct iv_owner *owner, const struct iv_run *run, gint64 now_ms)
+{
+  return run->over_target_since_ms > 0
+         && now_ms
+                >= run->over_target_since_ms + MAX (0, owner->limits.harm_ms - HALT_REACTION_MS);
+}
+
 static gboolean
 is_best_effort (const struct iv_run *run)
 {
@@ -176,8 +187,7 @@
 {
   double throttled = 0;
   double others = 0;
-  if (victim->over_target_since_ms > 0
-      && now_ms >= victim->over_target_since_ms + OVER_TARGET_MAX_MS)
+  if (is_harmed (owner, victim, now_ms))
     return 0;
   if (victim->baseline <= 0 || !is_throttled_for (owner, run, victim, now_ms))
     return IV_FULL_SPEED_PERCENT;
@@ -313,7 +323,7 @@
       double added;
       if (!is_latency_critical (run))
         continue;
-      if (run->over_target_since_ms > 0 && now_ms >= run->over_target_since_ms + OVER_TARGET_MAX_MS)
+      if (is_harmed (owner, run, now_ms))
         return G_MAXDOUBLE;
       added = interference (owner, run->workload, workload, share, now_ms);
       if (added < NEGLIGIBLE_INTERFERENCE)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -418,7 +418,8 @@
   sim->store_records = TRUE;
   sim->attempts = 3;
   sim->limits = (struct iv_owner_limits){
-    .lease_ms = 5000, .start_ms = 1500, .horizon_ms = 8600, .evidence_max_age_ms = 5000
+    .lease_ms = 5000, .start_ms = 1500, .horizon_ms = 8600, .evidence_max_age_ms = 5000,
+    .harm_ms = 4000
   };
   for (guint i = 0; i < workers; i++)
     {
--- a/jobs/tests/sharing_test.c
+++ b/jobs/tests/sharing_test.c
@@ -137,6 +137,31 @@
   sim_free (sim);
 }
 
+/* Pattern: a service over its target for a reason of its own. Best-effort runs that are known not to
+   interfere work on until the harm bound is near, and are halted before it passes. */
+static void
+test_innocent_run_is_halted_only_near_the_harm_bound (void **state)
+{
+  struct sim *sim = sim_new (1);
+  struct sim_run *service;
+  sim_start_owner (sim);
+  submit_latency_critical (sim);
+  load_estimate (sim, "light/", 0);
+  service = &g_array_index (sim->workers[0].runs, struct sim_run, 0);
+  service->tail_ms = 20;
+  sim_advance (sim, 1500);
+  submit_best_effort (sim, OTHER_JOB_ID, "light");
+  sim_advance (sim, 300);
+  assert_int_equal (sim_running_count (sim, OTHER_JOB_ID, 0, 0), 1);
+  service = &g_array_index (sim->workers[0].runs, struct sim_run, 0);
+  service->tail_ms = 60; /* of 50 */
+  sim_advance (sim, sim->limits.harm_ms / 2);
+  assert_int_equal (cpu_limit_of (sim, OTHER_JOB_ID), 100);
+  sim_advance (sim, sim->limits.harm_ms / 2 - 500);
+  assert_int_equal (cpu_limit_of (sim, OTHER_JOB_ID), 0);
+  sim_free (sim);
+}
+
 /* A best-effort job that interferes with every latency-critical task would never be placed, and
    count as lost. It must be placed once it has waited long enough. */
 static void
@@ -190,6 +215,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_best_effort_run_is_halted_for_tail_latency),
     cmocka_unit_test (test_cpu_limit_follows_tail_latency),
+    cmocka_unit_test (test_innocent_run_is_halted_only_near_the_harm_bound),
     cmocka_unit_test (test_starved_best_effort_job_is_placed),
     cmocka_unit_test (test_model_survives_owner_change),
   };
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -161,6 +161,8 @@
          .default_value = 1500, .min = 100, .max = HOUR_MS),
   KEYED ("evidence", iv_fleet_settings, evidence_max_age_ms, .kind = IV_FIELD_DURATION,
          .default_value = 5000, .min = 1000, .max = HOUR_MS),
+  KEYED ("harm", iv_fleet_settings, harm_ms, .kind = IV_FIELD_DURATION, .default_value = 4000,
+         .min = 100, .max = HOUR_MS),
   KEYED ("hold", iv_fleet_settings, owner_timeout_ms, .kind = IV_FIELD_DURATION,
          .default_value = 8000, .min = 1000, .max = HOUR_MS),
   KEYED ("hold_cut", iv_fleet_settings, owner_partition_timeout_ms, .kind = IV_FIELD_DURATION,
