Let the system pick the ports of tests that listen

Cause: fleet_app and streams listened on fixed ports, so that two runs on one machine failed each other's group setup. Change: loopback_port_reserve() keeps a port that the system chose.

--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -2,6 +2,7 @@
    same event loop. The tests build on each other. */
 #include "fleet_app.h"
 #include "http_client.h"
+#include "loopback_port.h"
 #include "store_standin.h"
 #include "worker_standin.h"
 
@@ -13,11 +14,6 @@
 
 #include <cmocka.h>
 
-#define STORE_PORT 17941
-#define WORKER_PORT 17942
-#define CALLERS_ADDRESS "127.0.0.1:17943"
-#define READY_ADDRESS "127.0.0.1:17944"
-#define METRICS_ADDRESS "127.0.0.1:17948"
 #define TIMEOUT_MS 10000 /* of a test that does not progress; no test waits for it to pass */
 #define JOB_PATH "/q/00000000000000aa"
 
@@ -30,22 +26,28 @@
 static struct iv_settings settings;
 static struct iv_document *document; /* owns the strings of the settings */
 
-static const char settings_text[]
-    = "user: u\nhost: h\ndomain: a\nlisten:\n  callers: 127.0.0.1:17945\n"
-      "  operators: 127.0.0.1:17946\n  peers: 127.0.0.1:17947\n"
-      "platform:\n  address: 127.0.0.1:17941\n"
-      "members:\n  - host: h\n    domain: a\n    peers: 127.0.0.1:17947\n"
-      "fleet:\n  jobs: " CALLERS_ADDRESS "\n  ready: " READY_ADDRESS "\n  metrics: " METRICS_ADDRESS
-      "\n";
+/* Addresses of the host under test. */
+static char callers_address[32];
+static char ready_address[32];
+static char metrics_address[32];
+
+/* The addresses, in this order: callers, operators, peers, store, peers again, jobs, readiness,
+   metrics. */
+static const char settings_format[]
+    = "user: u\nhost: h\ndomain: a\nlisten:\n  callers: %s\n  operators: %s\n  peers: %s\n"
+      "platform:\n  address: %s\n"
+      "members:\n  - host: h\n    domain: a\n    peers: %s\n"
+      "fleet:\n  jobs: %s\n  ready: %s\n  metrics: %s\n";
 
 static const char config_text[]
     = "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/q/\","
       "\"Service\":\"s\",\"Attempts\":2,\"Stretch\":2,\"TargetLatencyMs\":300}],"
       "\"Services\":[{\"Name\":\"s\"}]}";
 
-static const char worker_text[]
-    = "{\"Service\":\"s\",\"Address\":\"127.0.0.1:17942\",\"Zone\":\"a\",\"State\":\"ready\","
+static const char worker_format[]
+    = "{\"Service\":\"s\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"a\",\"State\":\"ready\","
       "\"Capacity\":{\"Cpu\":8000,\"MemMb\":9000},\"Labels\":[\"k\",\"r1\"],\"born\":1}";
+static guint16 worker_port;
 
 struct result
 {
@@ -99,16 +101,37 @@
   assert_non_null (strstr (result.body, text));
 }
 
+static guint16
+reserve_address (char address[32])
+{
+  guint16 port = loopback_port_reserve ();
+  g_snprintf (address, 32, "127.0.0.1:%u", port);
+  return port;
+}
+
 static int
 set_up (void **state)
 {
   struct iv_findings *findings = iv_findings_new ("settings");
+  char operators[32], peers[32], upstream_callers[32], store_address[32];
+  guint16 store_port = reserve_address (store_address);
+  char *text;
+  reserve_address (operators);
+  reserve_address (peers);
+  reserve_address (upstream_callers);
+  reserve_address (callers_address);
+  reserve_address (ready_address);
+  reserve_address (metrics_address);
+  worker_port = loopback_port_reserve ();
+  text = g_strdup_printf (settings_format, upstream_callers, operators, peers, store_address, peers,
+                          callers_address, ready_address, metrics_address);
   loop = uv_default_loop ();
   deadlines = iv_deadlines_new (loop);
-  store = store_standin_new (loop, STORE_PORT);
-  worker = worker_standin_new (loop, deadlines, "i-1", WORKER_PORT, 30);
+  store = store_standin_new (loop, store_port);
+  worker = worker_standin_new (loop, deadlines, "i-1", worker_port, 30);
   caller = iv_http_client_new (loop, deadlines, 3600000, 1 << 20);
-  document = iv_settings_read (settings_text, sizeof settings_text - 1, &settings, findings);
+  document = iv_settings_read (text, strlen (text), &settings, findings);
+  g_free (text);
   if (store == NULL || worker == NULL || document == NULL || iv_findings_count (findings) > 0)
     return -1;
   iv_findings_free (findings);
@@ -126,12 +149,14 @@
 static void
 test_not_ready_without_configuration (void **state)
 {
-  assert_int_equal (send_request ("GET", READY_ADDRESS, "/ibisvane/ready", NULL).status, 503);
+  char *worker_text = g_strdup_printf (worker_format, worker_port);
+  assert_int_equal (send_request ("GET", ready_address, "/ibisvane/ready", NULL).status, 503);
   assert_int_equal (
-      send_request ("POST", CALLERS_ADDRESS, JOB_PATH, "{\"Steps\":[{\"Count\":1}]}").status, 503);
+      send_request ("POST", callers_address, JOB_PATH, "{\"Steps\":[{\"Count\":1}]}").status, 503);
   store_standin_put (store, "keyed.op", "config", config_text);
   store_standin_put (store, "keyed.servers", "i-1", worker_text);
-  poll_until (READY_ADDRESS, "/ibisvane/ready", "", 200);
+  g_free (worker_text);
+  poll_until (ready_address, "/ibisvane/ready", "", 200);
 }
 
 static void
@@ -139,8 +164,8 @@
 {
   static const char job[] = "{\"Spec\":\"s\",\"Steps\":[{\"Count\":3,\"Cpu\":1000,\"MemMb\":10},"
                             "{\"Count\":2,\"Cpu\":1000,\"MemMb\":10,\"DependsOn\":[0]}]}";
-  assert_int_equal (send_request ("POST", CALLERS_ADDRESS, JOB_PATH, job).status, 200);
-  poll_until (CALLERS_ADDRESS, JOB_PATH, "completed", 200);
+  assert_int_equal (send_request ("POST", callers_address, JOB_PATH, job).status, 200);
+  poll_until (callers_address, JOB_PATH, "completed", 200);
   assert_int_equal (worker->starts, 5);
   assert_int_equal (worker->duplicate_starts, 0);
 }
@@ -149,8 +174,8 @@
 test_resubmission_is_the_same_job (void **state)
 {
   assert_int_equal (
-      send_request ("POST", CALLERS_ADDRESS, JOB_PATH, "{\"Steps\":[{\"Count\":9}]}").status, 200);
-  poll_until (CALLERS_ADDRESS, JOB_PATH, "completed", 200);
+      send_request ("POST", callers_address, JOB_PATH, "{\"Steps\":[{\"Count\":9}]}").status, 200);
+  poll_until (callers_address, JOB_PATH, "completed", 200);
   assert_int_equal (worker->starts, 5);
 }
 
@@ -159,14 +184,14 @@
 {
   static const char path[] = "/q/00000000000000bb";
   worker->run_ms = 1000000;
-  assert_int_equal (send_request ("POST", CALLERS_ADDRESS, path,
+  assert_int_equal (send_request ("POST", callers_address, path,
                                   "{\"Steps\":[{\"Count\":2,\"Cpu\":1,\"LongRunning\":true}]}")
                         .status,
                     200);
-  poll_until (CALLERS_ADDRESS, path, "running", 200);
-  poll_until (CALLERS_ADDRESS, "/q/", "{\"Pending\":0}", 200);
-  assert_int_equal (send_request ("DELETE", CALLERS_ADDRESS, path, NULL).status, 200);
-  poll_until (CALLERS_ADDRESS, path, "cancelled", 200);
+  poll_until (callers_address, path, "running", 200);
+  poll_until (callers_address, "/q/", "{\"Pending\":0}", 200);
+  assert_int_equal (send_request ("DELETE", callers_address, path, NULL).status, 200);
+  poll_until (callers_address, path, "cancelled", 200);
   for (guint i = 0; i < 1000 && worker->runs->len > 0; i++)
     uv_run (loop, UV_RUN_ONCE);
   assert_int_equal (worker->runs->len, 0);
@@ -175,14 +200,14 @@
 static void
 test_unknown_and_malformed (void **state)
 {
-  assert_int_equal (send_request ("GET", CALLERS_ADDRESS, "/q/00000000000000ff", NULL).status, 410);
-  assert_int_equal (send_request ("DELETE", CALLERS_ADDRESS, "/q/00000000000000ff", NULL).status,
+  assert_int_equal (send_request ("GET", callers_address, "/q/00000000000000ff", NULL).status, 410);
+  assert_int_equal (send_request ("DELETE", callers_address, "/q/00000000000000ff", NULL).status,
                     410);
-  assert_int_equal (send_request ("GET", CALLERS_ADDRESS, "/other/", NULL).status, 404);
-  assert_int_equal (send_request ("POST", CALLERS_ADDRESS, "/q/short", "{}").status, 404);
+  assert_int_equal (send_request ("GET", callers_address, "/other/", NULL).status, 404);
+  assert_int_equal (send_request ("POST", callers_address, "/q/short", "{}").status, 404);
   assert_int_equal (
-      send_request ("POST", CALLERS_ADDRESS, "/q/00000000000000fe", "{\"Steps\":[]}").status, 400);
-  assert_int_equal (send_request ("GET", CALLERS_ADDRESS, "/q/00000000000000fe", NULL).status, 410);
+      send_request ("POST", callers_address, "/q/00000000000000fe", "{\"Steps\":[]}").status, 400);
+  assert_int_equal (send_request ("GET", callers_address, "/q/00000000000000fe", NULL).status, 410);
 }
 
 static void
@@ -191,15 +216,15 @@
   static const char path[] = "/q/00000000000000cc";
   store->refuse = TRUE;
   assert_int_equal (
-      send_request ("POST", CALLERS_ADDRESS, path, "{\"Steps\":[{\"Count\":1}]}").status, 503);
+      send_request ("POST", callers_address, path, "{\"Steps\":[{\"Count\":1}]}").status, 503);
   store->refuse = FALSE;
-  poll_until (CALLERS_ADDRESS, path, "no such job", 410);
+  poll_until (callers_address, path, "no such job", 410);
 }
 
 static void
 test_metrics_are_served (void **state)
 {
-  struct result result = send_request ("GET", METRICS_ADDRESS, "/metrics", NULL);
+  struct result result = send_request ("GET", metrics_address, "/metrics", NULL);
   assert_int_equal (result.status, 200);
   assert_non_null (strstr (result.body, "ibisvane_cells_owned 1\n"));
   assert_non_null (strstr (result.body, "ibisvane_config_version 1\n"));
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -1,4 +1,5 @@
 #include "event.h"
+#include "loopback_port.h"
 #include "recorder.h"
 #include "store_standin.h"
 #include "stream.h"
@@ -10,8 +11,6 @@
 
 #include <cmocka.h>
 
-#define PORT 17931
-#define ADDRESS "127.0.0.1:17931"
 #define TOPIC "keyed.jobs"
 #define TIMEOUT_MS 10000 /* of a test that does not progress; no test waits for it to pass */
 
@@ -30,8 +29,11 @@
     {
       loop = uv_default_loop ();
       deadlines = iv_deadlines_new (loop);
-      standin = store_standin_new (loop, PORT);
-      store = iv_store_new (iv_http_client_new (loop, deadlines, 3600000, 1 << 20), ADDRESS);
+      guint16 port = loopback_port_reserve ();
+      char address[32];
+      g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+      standin = store_standin_new (loop, port);
+      store = iv_store_new (iv_http_client_new (loop, deadlines, 3600000, 1 << 20), address);
     }
   g_hash_table_remove_all (standin->topics);
   g_hash_table_remove_all (standin->producers);
--- a/jobs/sharing.c
+++ b/jobs/sharing.c
@@ -9,8 +9,8 @@
 #define CPU_LIMIT_MIN_PERCENT 20
 /* Best-effort tasks are throttled to keep tail latencies below this share of the target. */
 #define TAIL_LIMIT 0.95
-/* From a halt of every best-effort task on a worker until the tail latencies on it show it: one poll,
-   the interval that a tail latency covers, and the call. */
+/* From a halt of every best-effort task on a worker until the tail latencies on it show it: one
+   poll, the interval that a tail latency covers, and the call. */
 #define HALT_REACTION_MS 1500
 /* Added tail latency, as a share of the baseline and for use of a whole host, above which a task is
    throttled: most pairs are near 0.2, or above 4. */
@@ -52,8 +52,7 @@
 is_harmed (const struct iv_owner *owner, const struct iv_run *run, gint64 now_ms)
 {
   return run->over_target_since_ms > 0
-         && now_ms
-                >= run->over_target_since_ms + MAX (0, owner->limits.harm_ms - HALT_REACTION_MS);
+         && now_ms >= run->over_target_since_ms + MAX (0, owner->limits.harm_ms - HALT_REACTION_MS);
 }
 
 static gboolean
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -417,10 +417,11 @@
   sim->confirmed = TRUE;
   sim->store_records = TRUE;
   sim->attempts = 3;
-  sim->limits = (struct iv_owner_limits){
-    .lease_ms = 5000, .start_ms = 1500, .horizon_ms = 8600, .evidence_max_age_ms = 5000,
-    .harm_ms = 4000
-  };
+  sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
+                                          .start_ms = 1500,
+                                          .horizon_ms = 8600,
+                                          .evidence_max_age_ms = 5000,
+                                          .harm_ms = 4000 };
   for (guint i = 0; i < workers; i++)
     {
       struct sim_worker *worker = &sim->workers[i];
--- a/jobs/tests/sharing_test.c
+++ b/jobs/tests/sharing_test.c
@@ -137,8 +137,8 @@
   sim_free (sim);
 }
 
-/* Pattern: a service over its target for a reason of its own. Best-effort runs that are known not to
-   interfere work on until the harm bound is near, and are halted before it passes. */
+/* Pattern: a service over its target for a reason of its own. Best-effort runs that are known not
+   to interfere work on until the harm bound is near, and are halted before it passes. */
 static void
 test_innocent_run_is_halted_only_near_the_harm_bound (void **state)
 {
