Ignore replies that an owner finds after its authority ran out

Cause: a process that was suspended handles the replies in its sockets before its next tick, and sent stops and limits by an authority that had run out. Change: each tick states until when the owner may act; later replies are ignored, and the next tick decides. The log key of a quarantine's length is for_ms, as it is a duration.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -373,6 +373,8 @@
       return;
     }
   authority.evidence_age_ms = iv_stream_age_ms (task->deps.operators);
+  authority.valid_until_ms = now + task->deps.settings->owner_timeout_ms
+                             - iv_membership_unconfirmed_ms (task->deps.membership);
   authority.confirmed
       = iv_membership_unconfirmed_ms (task->deps.membership) < task->deps.settings->member_ttl_ms;
   iv_owner_tick (task->owner, &authority, now, iv_clock_wall_ms ());
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -450,6 +450,7 @@
 {
   const struct iv_owner_limits *limits = &owner->limits;
   owner->wall_ms = wall_ms;
+  owner->valid_until_ms = authority->valid_until_ms;
   if (owner->deposed)
     return;
   if (!owner->previous_runs_known && are_previous_runs_known (owner, now_ms))
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -225,6 +225,9 @@
 {
   gint64 evidence_age_ms; /**< age of the state of failure domains (in or out of service) */
   gboolean confirmed;     /**< no other host can own the cell */
+  /** Until then the owner acts on replies without a further tick. A process that was suspended
+   * finds replies before its next tick, when another host may own the cell. */
+  gint64 valid_until_ms;
 };
 
 /** Poll workers that are due, and start every task that can start. */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -36,6 +36,7 @@
   gint64 owned_since_ms;
   gint64 start_window_ms; /**< a start that is sent now expires after this */
   gint64 wall_ms;         /**< wall clock of the present tick */
+  gint64 valid_until_ms;  /**< replies that come later are ignored: see iv_owner_authority */
   gint64 next_load_log_ms;
   gboolean handed_over;         /**< only the workers in `unresolved` are waited for */
   GHashTable *unresolved;       /**< set of worker ids */
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -56,13 +56,20 @@
     iv_advice_invalidate (stage->advice, worker);
 }
 
+/* Whether the authority of the last tick has run out. What replies would cause waits for a tick. */
+static gboolean
+authority_expired (const struct iv_owner *owner, gint64 now_ms)
+{
+  return now_ms > owner->valid_until_ms;
+}
+
 void
 iv_owner_start_replied (struct iv_owner *owner, guint32 handle, const struct iv_task_name *name,
                         gint64 number, enum iv_command_outcome outcome, gint64 clock, gint64 now_ms)
 {
   struct iv_fleet_worker *worker = iv_fleet_worker (owner->fleet, handle);
   struct iv_run *run = worker ? iv_run_find (worker, name, number) : NULL;
-  if (run == NULL)
+  if (run == NULL || authority_expired (owner, now_ms))
     return;
   if (clock > 0)
     note_reply (worker, clock, now_ms);
@@ -105,7 +112,8 @@
   struct iv_run *run = worker ? iv_run_find (worker, name, number) : NULL;
   if (outcome == IV_COMMAND_FENCED && worker)
     depose (owner, worker);
-  if (run == NULL || run->phase != IV_RUN_PHASE_STOPPING || outcome != IV_COMMAND_OK)
+  if (run == NULL || run->phase != IV_RUN_PHASE_STOPPING || outcome != IV_COMMAND_OK
+      || authority_expired (owner, now_ms))
     return;
   note_reply (worker, clock, now_ms);
   run->acked_clock_ms = clock;
@@ -120,7 +128,7 @@
     return;
   worker->consecutive_failed_runs = BAD_RUNS_MAX - 1;
   worker->quarantined_until_ms = now_ms + QUARANTINE_MS;
-  iv_event (IV_LEVEL_WARNING, "worker.aside", "worker=%s reason=failing until_ms=%d", worker->id,
+  iv_event (IV_LEVEL_WARNING, "worker.aside", "worker=%s reason=failing for_ms=%d", worker->id,
             QUARANTINE_MS);
 }
 
@@ -396,6 +404,8 @@
   if (worker == NULL)
     return;
   worker->polling = FALSE;
+  if (authority_expired (owner, now_ms))
+    return;
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
   if (outcome == IV_COMMAND_WRONG_INSTANCE)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -389,7 +389,8 @@
 {
   for (gint64 end = sim->now_ms + ms; sim->now_ms < end;)
     {
-      struct iv_owner_authority authority = { sim->evidence_age_ms, sim->confirmed };
+      struct iv_owner_authority authority
+          = { sim->evidence_age_ms, sim->confirmed, sim->now_ms + sim->authority_ms };
       sim->now_ms += TICK_MS;
       sim->wall_ms += TICK_MS;
       advance_workers (sim);
@@ -415,6 +416,7 @@
   sim->now_ms = 1000;
   sim->wall_ms = 1000000;
   sim->confirmed = TRUE;
+  sim->authority_ms = 8000;
   sim->store_records = TRUE;
   sim->attempts = 3;
   sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -58,6 +58,7 @@
   gint64 wall_ms;
   gint64 evidence_age_ms;       /**< given to the owner with each tick */
   gboolean confirmed;           /**< the owner is told that nobody else can own the cell */
+  gint64 authority_ms;          /**< each tick permits the owner to act for this long */
   gboolean store_records;       /**< progress records are stored */
   gboolean stalled;             /**< no run makes progress */
   gboolean domain_a_out;        /**< domain "a" is out of service */
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -594,6 +594,43 @@
   sim_free (sim);
 }
 
+/* Reply of worker 0 at @a now_ms that lists a run of no known job, which the owner stops. */
+static void
+reply_with_unknown_run (struct sim *sim, gint64 now_ms)
+{
+  const struct iv_fleet_worker *worker
+      = iv_fleet_find_by_id (iv_owner_fleet (sim->owner), sim->workers[0].id);
+  struct iv_listed_run unknown = { .name = { .job = OTHER_JOB_ID }, .number = 1 };
+  struct iv_poll_reply reply
+      = { .clock = sim->workers[0].clock,
+          .start_time_ms = sim->workers[0].start_time_ms,
+          .runs = g_array_new (FALSE, FALSE, sizeof unknown),
+          .ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end)) };
+  g_array_append_val (reply.runs, unknown);
+  iv_owner_poll_replied (sim->owner, worker->handle, IV_COMMAND_OK, &reply, now_ms);
+  g_array_free (reply.runs, TRUE);
+  g_array_free (reply.ends, TRUE);
+}
+
+/* Pattern: a suspended process finds replies before its next tick. What permitted it to act has run
+   out meanwhile, and another owner may run the cell, so it sends nothing. */
+static void
+test_suspended_owner_sends_nothing_for_old_replies (void **state)
+{
+  struct sim *sim = sim_new (1);
+  guint calls;
+  sim_start_owner (sim);
+  sim_make_job (1, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  calls = sim->calls->len;
+  reply_with_unknown_run (sim, sim->now_ms + sim->authority_ms + 100);
+  assert_int_equal (sim->calls->len, calls);
+  reply_with_unknown_run (sim, sim->now_ms);
+  assert_int_equal (sim->calls->len, calls + 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -628,6 +665,7 @@
     cmocka_unit_test (test_stalled_run_is_moved),
     cmocka_unit_test (test_silent_domain_counts_as_partition),
     cmocka_unit_test (test_one_silent_domain_of_many_counts_as_partition),
+    cmocka_unit_test (test_suspended_owner_sends_nothing_for_old_replies),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
