--- a/settings/settings.h
+++ b/settings/settings.h
@@ -116,7 +116,7 @@
   gint64 start_window_ms;     /**< a worker refuses a start that arrives later */
   gint64 evidence_max_age_ms; /**< no start if the operators' commands were last read longer ago */
   gint64 harm_ms; /**< longest time that best-effort tasks keep a tail latency over its target */
-  gint64 owner_timeout_ms;    /**< an owner not confirmed by the store for this long resigns */
+  gint64 owner_timeout_ms; /**< an owner not confirmed by the store for this long resigns */
   gint64 owner_partition_timeout_ms; /**< the same, while many workers do not answer it either */
   gint64 horizon_ms;       /**< after it, no run of a previous owner is left on a silent worker */
   gint64 member_ttl_ms;    /**< a member silent for this long is removed from the group */
