--- a/jobs/queue_order.h
+++ b/jobs/queue_order.h
@@ -29,7 +29,7 @@
   gint64 priority;        /**< of its queue; 0 is the highest */
   gint64 objective_ms;    /**< end of the time in which it has full value; 0: unknown */
   gint64 zero_utility_ms; /**< from then on it has none */
-  gint64 path_ms;         /**< longest remaining chain of steps that have no run yet */
+  gint64 path_ms;         /**< estimated rest of its longest chain of steps; 0 once it runs */
   gint64 work;            /**< estimated remaining work, core-milliseconds */
 };
 
