Log each start with its term and the worker's instance

After a task ran twice, the logs could not tell which owner had ordered the runs, on which instance of the worker, how long that had been silent, and how long its leases lasted: only the first start of a job had a line. run.started has them now; the limit of lines per second and kind applies.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -85,6 +85,13 @@
       iv_event (IV_LEVEL_INFO, "job.begun", "job=%s queue=%s worker=%s waited_ms=%" G_GINT64_FORMAT,
                 exec->job->id, exec->job->spec.prefix, worker->id, now_ms - exec->first_seen_ms);
     }
+  iv_event (IV_LEVEL_INFO, "run.started",
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s term=%" G_GINT64_FORMAT
+            " life=%" G_GINT64_FORMAT " silent_ms=%" G_GINT64_FORMAT
+            " lease_end_clock_ms=%" G_GINT64_FORMAT,
+            name->job, name->occurrence, name->step, name->index, number, worker->id, owner->term,
+            worker->start_time_ms, now_ms - worker->clock_sampled_at_ms,
+            worker->lease_end_clock_ms);
   owner->effects.start (owner->effects.context, worker, &command);
 }
 
