--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -472,7 +472,8 @@
                                          .capacity = { worker->capacity_milli, 100000, 0 },
                                          .draining = worker->draining,
                                          .start_time_ms = worker->start_time_ms };
-      iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
+      if (!worker->unlisted)
+        iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
     }
   iv_owner_worker_list_loaded (sim->owner);
 }
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -37,6 +37,7 @@
   gboolean drops_replies;  /**< calls reach it, their replies are lost */
   gboolean refuses_starts; /**< starts are refused for lack of capacity */
   gboolean draining;
+  gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
   gint64 start_delay_ms; /**< starts are carried out this much later */
   GArray *runs;          /**< of struct sim_run */
   GArray *ends;          /**< of struct iv_listed_end */
