Wait for the leases of the previous owner

Callers saw: a task ran twice after a change of owners. Cause: the first poll of a worker carries no lease, so that a new owner did not know how long the leases of the previous owner run. When the next poll is delayed (after a reply with ends) and a start fails at once meanwhile, polls go on without a lease, and the deadline of that start (1.5 s) counted as the end of every lease there. The runs that the owner had adopted were started elsewhere, up to 3.5 s before the previous lease ended. Change: at the first reply under its term the owner takes a full lease from the clock in that reply as the latest end. From that reply on the worker refuses calls of previous owners. The longest lease that the platform permits (10 s) would hold too, but it would keep a task that lasts waiting for up to 10.2 s after its worker died, and the platform counts it as lost from 9 s on. Evidence: lease_test fails on the code before (two runs at once after 1.5 s) and with mutant_previous_lease. The simulated workers now shorten leases as the platform does, and can reset connections.

--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -102,7 +102,7 @@
   gboolean fenced;            /**< it has replied under the term of this owner */
   gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
   gint64 clock_sampled_at_ms; /**< ...and when that reply came, on the owner's clock */
-  gint64 lease_end_clock_ms;  /**< latest end of a lease that was sent to it */
+  gint64 lease_end_clock_ms;  /**< latest end of a lease that this or a previous owner sent it */
   gint64 acked_end;           /**< run ends up to this sequence number are recorded; the worker may
                                    discard them */
   gint64 processed_end;       /**< run ends up to this sequence number were processed */
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -396,6 +396,16 @@
   iv_sharing_update (owner, worker, now_ms);
 }
 
+/* From the first reply on the worker refuses the calls of previous owners, which may have extended
+   leases until just now. */
+static void
+note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock)
+{
+  worker->fenced = TRUE;
+  worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + owner->limits.lease_ms);
+  owner->needs_dispatch = TRUE;
+}
+
 void
 iv_owner_poll_replied (struct iv_owner *owner, guint32 handle, enum iv_command_outcome outcome,
                        const struct iv_poll_reply *reply, gint64 now_ms)
@@ -436,8 +446,7 @@
     return;
   note_reply (worker, reply->clock, now_ms);
   if (!worker->fenced)
-    owner->needs_dispatch = TRUE;
-  worker->fenced = TRUE;
+    note_first_reply (owner, worker, reply->clock);
   apply_poll_reply (owner, worker, reply, now_ms);
   worker->next_poll_ms = now_ms;
   if (reply->ends->len > 0)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -175,6 +175,13 @@
   return FALSE;
 }
 
+static void
+extend_lease (struct sim_worker *worker, gint64 end_clock_ms)
+{
+  end_clock_ms = MIN (end_clock_ms, worker->clock + SIM_LEASE_MAX_MS);
+  worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, end_clock_ms);
+}
+
 static enum iv_command_outcome
 handle_start (struct sim *sim, struct sim_worker *worker, const struct sim_call *call)
 {
@@ -190,7 +197,7 @@
       sim->no_ticket++;
       return IV_COMMAND_NO_TICKET;
     }
-  worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, call->until);
+  extend_lease (worker, call->until);
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_same_task (&g_array_index (worker->runs, struct sim_run, i).name, &call->name))
       return IV_COMMAND_OK;
@@ -257,7 +264,7 @@
     call->outcome = handle_stop (worker, call);
   else
     {
-      worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, call->lease_end_clock_ms);
+      extend_lease (worker, call->lease_end_clock_ms);
       call->outcome = IV_COMMAND_OK;
     }
 }
@@ -306,10 +313,10 @@
     {
       if (call->kind == CALL_START && sim->now_ms < call->sent_ms + worker->start_delay_ms)
         return FALSE;
-      if (worker->unreachable)
+      if (worker->unreachable || worker->resets_calls)
         {
           call->outcome = IV_COMMAND_UNKNOWN;
-          if (sim->now_ms < call->reply_ms + CALL_TIMEOUT_MS)
+          if (sim->now_ms < call->reply_ms + (worker->resets_calls ? 0 : CALL_TIMEOUT_MS))
             return FALSE;
           deliver (sim, call);
           return TRUE;
@@ -355,7 +362,9 @@
   for (guint i = 0; i < sim->count; i++)
     {
       struct sim_worker *worker = &sim->workers[i];
-      worker->clock += TICK_MS;
+      worker->clock_rest += TICK_MS * (100 - worker->clock_slow_percent);
+      worker->clock += worker->clock_rest / 100;
+      worker->clock_rest %= 100;
       for (guint j = 0; !sim->stalled && j < worker->runs->len; j++)
         g_array_index (worker->runs, struct sim_run, j).percent = worker->clock / 200 % 100;
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -11,6 +11,7 @@
 #include "owner.h"
 
 #define SIM_WORKERS_MAX 8
+#define SIM_LEASE_MAX_MS 10000 /**< a worker shortens a longer lease to this */
 
 /** A run on a simulated worker. */
 struct sim_run
@@ -30,11 +31,14 @@
   char domain[16]; /**< "a" or "b" */
   gint64 start_time_ms;
   gint64 clock;              /**< its own clock, milliseconds */
+  gint64 clock_slow_percent; /**< its clock runs this much slow */
+  gint64 clock_rest;         /**< what the clock owes, hundredths of a millisecond */
   gint64 fence;              /**< highest term seen; calls with a lower one are refused */
   gint64 lease_end_clock_ms; /**< end of the lease of its runs, on its clock */
   gint64 capacity_milli;
   gboolean unreachable;    /**< no call reaches it */
   gboolean drops_replies;  /**< calls reach it, their replies are lost */
+  gboolean resets_calls;   /**< connections are reset: calls fail at once */
   gboolean refuses_starts; /**< starts are refused for lack of capacity */
   gboolean draining;
   gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
