Send leases by the slowest clock permitted

Callers saw: a task could run twice after a change of owners, where it had just been started on a worker that had been idle for a minute. Cause: the end of a lease is sent as a time on the worker's clock, estimated at equal rates from the newest sample; an idle worker is not polled, so that the sample may be minutes old, and its clock may be 2 % slow. After a minute the first lease was 6.2 s instead of 5 s, after 110 s 7.2 s. With the time for which a partitioned owner goes on (hold_cut, 3 s) this is more than the horizon, after which the next owner starts the task elsewhere. The check of the settings (horizon at least hold_cut and 1.02 lease) does not count it. Change: leases that polls renew are reckoned from the lower bound of the clock. The deadline of a start keeps the estimate, else a start on a normal clock would be refused as late; samples older than 2 minutes are refreshed by a poll, so that it is at most 1.5 + 2.4 s away, less than a lease.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -10,6 +10,10 @@
 /* The longest interval between lists of runs, which show stalls and tail latencies. */
 #define POLL_WAIT_MS 500
 #define STOP_RETRY_MS 400
+/* Older samples of a worker's clock are refreshed: the error of an estimate grows by 2 % of their
+   age, and the deadline of a start, which is also a lease, must not be further away than a lease.
+ */
+#define CLOCK_SAMPLE_MAX_MS 120000
 #define MIN_START_WINDOW_MS 100 /* for a start to arrive: failure domains are ms apart */
 
 /* Interference of a best-effort task per share of the host: none for most pairs of images, up to
@@ -320,7 +324,7 @@
   gint64 wait = 0;
   if (worker->fenced && worker->failures == 0 && is_visible_to_successor (worker, now_ms))
     {
-      lease = iv_worker_clock (worker, now_ms) + owner->limits.lease_ms;
+      lease = iv_worker_clock_min (worker, now_ms) + owner->limits.lease_ms;
       worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, lease);
       wait = worker->runs->len > 0 ? POLL_WAIT_MS : 0;
     }
@@ -373,7 +377,9 @@
 tick_worker (struct iv_owner *owner, struct iv_fleet_worker *worker, gboolean confirmed,
              gint64 now_ms)
 {
-  if (!worker->polling && needs_poll (worker) && now_ms >= worker->next_poll_ms)
+  gboolean sample_old = now_ms > worker->clock_sampled_at_ms + CLOCK_SAMPLE_MAX_MS;
+  if (!worker->polling && (needs_poll (worker) || (worker->listed && sample_old))
+      && now_ms >= worker->next_poll_ms)
     poll_worker (owner, worker, now_ms);
   /* Without confirmation, a worker that is silent here may already run tasks for another owner. */
   if (confirmed && worker->runs->len > 0 && leases_expired (owner, worker, now_ms))
--- a/jobs/tests/lease_test.c
+++ b/jobs/tests/lease_test.c
@@ -7,6 +7,8 @@
 
 #include <cmocka.h>
 
+#define PARTITION_TIMEOUT_MS 3000 /* hold_cut: a partitioned owner renews leases for so long */
+
 /* Advances by @a ms and checks all the while that no task runs twice. */
 static void
 advance_without_duplicates (struct sim *sim, gint64 ms)
@@ -52,11 +54,42 @@
   sim_free (sim);
 }
 
+/* Guards against a run of a previous owner that outlives the horizon: a lease computed from an old
+   sample of a slow clock was longer than intended. */
+static void
+test_leases_of_slow_clocks_end_within_horizon (void **state)
+{
+  static const gint64 idle_ms[] = { 0, 60000, 110000, 200000, 400000 };
+  for (guint i = 0; i < G_N_ELEMENTS (idle_ms); i++)
+    {
+      struct sim *sim = sim_new (2);
+      sim->workers[0].clock_slow_percent = 2;
+      sim->workers[1].capacity_milli = 0;
+      sim_start_owner (sim);
+      sim_advance (sim, 100 + idle_ms[i]);
+      sim_make_job (1, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 30);
+      assert_int_equal (sim->workers[0].runs->len, 1);
+      assert_in_range (sim->workers[0].lease_end_clock_ms - sim->workers[0].clock, 1,
+                       sim->limits.lease_ms);
+      sim->workers[0].unreachable = TRUE;
+      sim->workers[1].capacity_milli = 4000;
+      sim_start_owner (sim);
+      /* The previous owner renews leases for a while longer. */
+      sim->workers[0].lease_end_clock_ms += PARTITION_TIMEOUT_MS;
+      advance_without_duplicates (sim, 14000);
+      assert_int_equal (sim->workers[1].runs->len, 1);
+      sim_free (sim);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_leases_of_previous_owner_are_waited_for),
+    cmocka_unit_test (test_leases_of_slow_clocks_end_within_horizon),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
