Free a task only at the end of the run it is placed as

Callers saw: a task ran twice, and then more often, after a late call of a previous owner had begun an old run of it on another worker. Cause: the owner stops a listed run that it does not want. When the end of that run (or its absence, its lapse, the rebirth of its worker) was learnt, the task was made to wait, also while it was placed as another run elsewhere: it started once more, and the first run went on. Each unwanted run so made a further one. Likewise a task that waited was started at once, while an old run of it was only being stopped. Change: a task holds the number of the run that it is placed as, and only that run's end frees it. A task that waits is placed as the old run that is found until this has ended.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -71,6 +71,7 @@
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, command.deadline_clock_ms);
   task->state = IV_JOB_TASK_PLACED;
   task->run = number;
+  task->placed_run = number;
   stage->placed++;
   exec->placed++;
   if (!exec->started)
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -21,6 +21,7 @@
 {
   enum iv_job_task_state state;
   gint64 run;           /**< highest run number that a start of this task has used */
+  gint64 placed_run;    /**< number of the run that it is placed as; 0: it is not placed */
   gint64 not_before_ms; /**< monotonic clock; earliest next start after a failure */
   guint failures;       /**< failed runs, each counted once */
   gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -123,21 +123,22 @@
   if (task->state != IV_JOB_TASK_PLACED)
     return;
   task->state = IV_JOB_TASK_WAITING;
+  task->placed_run = 0;
   stage->placed--;
   exec->placed--;
 }
 
 void
-iv_owner_requeue_task (struct iv_owner *owner, const struct iv_task_name *name,
-                       const char *checkpoint, gboolean runs_known)
+iv_owner_requeue_task (struct iv_owner *owner, const struct iv_task_name *name, gint64 number,
+                       const char *checkpoint)
 {
   struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
   struct iv_stage *stage;
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, &stage) : NULL;
-  if (task == NULL)
+  if (task == NULL || task->placed_run != number)
     return;
   iv_owner_clear_placement (exec, stage, task);
-  task->runs_known |= runs_known;
+  task->runs_known = TRUE;
   owner->needs_dispatch = TRUE;
   if (checkpoint == NULL || *checkpoint == '\0')
     return;
@@ -267,8 +268,9 @@
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, 0);
       struct iv_task_name name = run->name;
+      gint64 number = run->number;
       iv_run_remove (run);
-      iv_owner_requeue_task (owner, &name, NULL, TRUE);
+      iv_owner_requeue_task (owner, &name, number, NULL);
     }
 }
 
@@ -354,13 +356,14 @@
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
       struct iv_task_name name = run->name;
+      gint64 number = run->number;
       if (!long_unlisted && is_last_attempt (owner, run))
         continue;
       iv_event (IV_LEVEL_WARNING, "run.lapsed",
                 "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s", name.job, name.occurrence,
-                name.step, name.index, run->number, worker->id);
+                name.step, name.index, number, worker->id);
       iv_run_remove (run);
-      iv_owner_requeue_task (owner, &name, NULL, TRUE);
+      iv_owner_requeue_task (owner, &name, number, NULL);
     }
 }
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -80,10 +80,10 @@
 /** Log the load of the cell when the log interval has passed: owner_load.c. */
 void iv_owner_log_load (struct iv_owner *owner, gint64 now_ms);
 
-/** Make a task wait again after its run is gone. A non-empty @a checkpoint replaces the task's.
- *  @a runs_known: no other run of the task can exist. */
-void iv_owner_requeue_task (struct iv_owner *owner, const struct iv_task_name *name,
-                            const char *checkpoint, gboolean runs_known);
+/** Make a task wait again after its run @a number is gone, unless it is placed as another run. A
+ *  non-empty @a checkpoint replaces the task's. */
+void iv_owner_requeue_task (struct iv_owner *owner, const struct iv_task_name *name, gint64 number,
+                            const char *checkpoint);
 
 /** Stop all runs of @a job. */
 void iv_owner_stop_job (struct iv_owner *owner, const struct iv_job_entry *job, gint64 now_ms);
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -101,7 +101,7 @@
         = now_ms
           + (outcome == IV_COMMAND_NO_CAPACITY ? QUARANTINE_NO_CAPACITY_MS : QUARANTINE_REFUSED_MS);
   iv_run_remove (run);
-  iv_owner_requeue_task (owner, name, NULL, TRUE);
+  iv_owner_requeue_task (owner, name, number, NULL);
 }
 
 void
@@ -237,12 +237,13 @@
     }
   task->run = MAX (task->run, end->number);
   if (was_known)
-    iv_owner_requeue_task (owner, &end->name, end->checkpoint, TRUE);
+    iv_owner_requeue_task (owner, &end->name, end->number, end->checkpoint);
   if (end->reason == IV_END_FAILED)
     handle_failed (owner, exec, end, worker->handle, now_ms);
 }
 
-/* Keeps or stops a listed run that is not known to this owner. */
+/* Keeps or stops a listed run that is not known to this owner. Its task does not start elsewhere
+   before its end. */
 static void
 adopt (struct iv_owner *owner, struct iv_fleet_worker *worker, const struct iv_listed_run *listed,
        gint64 now_ms)
@@ -254,8 +255,16 @@
       = iv_run_add (worker, &listed->name, stage ? stage->step : NULL, listed->number, now_ms);
   run->phase = IV_RUN_PHASE_RUNNING;
   run->workload = iv_sharing_workload (owner, run->step);
-  if (task == NULL || stage == NULL || task->state != IV_JOB_TASK_WAITING
-      || listed->number < task->run)
+  if (task && stage && task->state == IV_JOB_TASK_WAITING)
+    {
+      task->state = IV_JOB_TASK_PLACED;
+      task->placed_run = listed->number;
+      task->runs_known = TRUE;
+      stage->placed++;
+      exec->placed++;
+      exec->started = TRUE;
+    }
+  if (task == NULL || task->placed_run != listed->number || listed->number < task->run)
     {
       iv_event (IV_LEVEL_INFO, "run.unwanted",
                 "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s", listed->name.job,
@@ -264,12 +273,7 @@
       iv_owner_stop_run (owner, run, now_ms);
       return;
     }
-  task->state = IV_JOB_TASK_PLACED;
   task->run = listed->number;
-  task->runs_known = TRUE;
-  stage->placed++;
-  exec->placed++;
-  exec->started = TRUE;
 }
 
 static void
@@ -330,14 +334,15 @@
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
       struct iv_task_name name = run->name;
+      gint64 number = run->number;
       if (is_listed (reply, run) || !is_proven_absent (run, reply->clock))
         continue;
       iv_event (IV_LEVEL_INFO, "run.absent",
                 "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s phase=%s", name.job,
-                name.occurrence, name.step, name.index, run->number, worker->id,
+                name.occurrence, name.step, name.index, number, worker->id,
                 phase_names[run->phase]);
       iv_run_remove (run);
-      iv_owner_requeue_task (owner, &name, NULL, TRUE);
+      iv_owner_requeue_task (owner, &name, number, NULL);
     }
 }
 
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -313,6 +313,8 @@
     {
       if (call->kind == CALL_START && sim->now_ms < call->sent_ms + worker->start_delay_ms)
         return FALSE;
+      if (call->kind == CALL_STOP && sim->now_ms < call->sent_ms + worker->stop_delay_ms)
+        return FALSE;
       if (worker->unreachable || worker->resets_calls)
         {
           call->outcome = IV_COMMAND_UNKNOWN;
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -43,6 +43,7 @@
   gboolean draining;
   gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
   gint64 start_delay_ms; /**< starts are carried out this much later */
+  gint64 stop_delay_ms;  /**< the same for stops */
   GArray *runs;          /**< of struct sim_run */
   GArray *ends;          /**< of struct iv_listed_end */
   gint64 last_end;       /**< sequence number of the newest end */
