Wait for draining workers with runs that left the list

An owner that resigned before it had read the list named no worker at all; the roster has mended that, its test is new.

The roster names a draining worker while it has runs, and the next owner waits for it; a handover that names it counts more than its drain. One that drained without runs is not waited for. The cost: after a draining worker with runs has left in order, tasks of its jobs may wait for the horizon if the owner changes within a lease of it.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -54,7 +54,7 @@
 reset_instance (struct iv_fleet_worker *worker, gint64 start_time_ms)
 {
   worker->start_time_ms = start_time_ms;
-  worker->roster_state = 0; /* its address may have changed */
+  worker->roster_state = IV_ROSTER_ABSENT; /* its address may have changed */
   worker->fenced = FALSE;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
@@ -100,7 +100,6 @@
   worker->capacity = listed->capacity;
   worker->draining = listed->draining;
   worker->listed = TRUE;
-  worker->lost_store = FALSE;
   return worker;
 }
 
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -75,12 +75,12 @@
   guint cpu_limit_sent_percent; /**< the limit last sent to the worker */
 };
 
-/** What the roster says of a worker; 0: the roster does not name it. */
+/** What the roster says of a worker. */
 enum iv_roster_state
 {
-  IV_ROSTER_NAMED = 1,
-  IV_ROSTER_LISTED = 2,
-  IV_ROSTER_DRAINING = 4
+  IV_ROSTER_ABSENT,
+  IV_ROSTER_NAMED,
+  IV_ROSTER_DRAINING /**< named as draining, with runs */
 };
 
 /** One worker. */
@@ -96,15 +96,15 @@
   struct iv_resources capacity;
   struct iv_resources used;     /**< by its runs; without the cores of best-effort tasks */
   gint64 best_effort_cpu_milli; /**< cores declared by best-effort tasks */
-  guint latency_tasks;        /**< number of latency-critical tasks: those with a latency target */
-  gint64 latency_cpu_milli;   /**< cores declared by latency-critical tasks */
-  guint batch_tasks;          /**< tasks that end by themselves and are not best-effort */
-  gboolean listed;            /**< the platform lists it */
-  gboolean draining;          /**< it accepts no new runs */
-  gint64 unlisted_ms;         /**< when the platform stopped listing it */
-  guint roster_state;         /**< its state in the newest roster: of enum iv_roster_state... */
-  gboolean recorded;          /**< ...which is stored: the next owner learns of it */
-  gboolean lost_store;        /**< it replied to the previous owner after it had left the list */
+  guint latency_tasks;      /**< number of latency-critical tasks: those with a latency target */
+  gint64 latency_cpu_milli; /**< cores declared by latency-critical tasks */
+  guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
+  gboolean listed;          /**< the platform lists it */
+  gboolean draining;        /**< it accepts no new runs */
+  gint64 unlisted_ms;       /**< when the platform stopped listing it */
+  enum iv_roster_state roster_state; /**< in the newest roster... */
+  gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
+  gboolean drained_with_runs; /**< it was draining in the roster of the previous owner */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
   gboolean fenced;            /**< it has replied under the term of this owner */
   gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -95,7 +95,6 @@
   hyper mem_mb;
   hyper accelerators;
   hyper start_time_ms;
-  bool listed; /* else it lost the store and runs on */
   bool draining;
 };
 
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -283,8 +283,6 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->start_time_ms))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->listed))
-		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
 	return TRUE;
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -151,7 +151,6 @@
 	quad_t mem_mb;
 	quad_t accelerators;
 	quad_t start_time_ms;
-	bool_t listed;
 	bool_t draining;
 };
 typedef struct ivj_worker ivj_worker;
--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -4,14 +4,16 @@
 #include "histogram.h"
 
 /* Whether runs of a previous owner may exist on a worker that has not replied yet. A worker that
-   drained and left the list has ended all its runs, unless it replied to the previous owner after
-   that: then it only lost the store. */
+   drained and left the list has ended all its runs, but it may also have lost the store: what the
+   previous owner reported of it counts more. */
 static gboolean
 is_awaited (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  if (worker->fenced || (worker->draining && !worker->listed && !worker->lost_store))
+  if (worker->fenced)
     return FALSE;
-  return !owner->handed_over || g_hash_table_contains (owner->unresolved, worker->id);
+  if (owner->handed_over)
+    return g_hash_table_contains (owner->unresolved, worker->id);
+  return worker->listed || !worker->draining || worker->drained_with_runs;
 }
 
 GPtrArray *
@@ -92,20 +94,14 @@
             owner->roster_loaded, owner->roster_missing, owner->handed_over);
 }
 
-/* A worker belongs in the roster when it has runs, or may get one. One that drained, left the list
-   and is silent has ended. */
-static guint
+/* A worker belongs in the roster when it has runs, or may get one. */
+static enum iv_roster_state
 roster_state (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  guint state = IV_ROSTER_NAMED;
-  if (worker->listed)
-    state |= IV_ROSTER_LISTED;
-  else if ((worker->draining && worker->failures > 0)
-           || (worker->runs->len == 0 && !is_awaited (owner, worker)))
-    return 0;
+  gboolean may_have_runs = worker->runs->len > 0 || is_awaited (owner, worker);
   if (worker->draining)
-    state |= IV_ROSTER_DRAINING;
-  return state;
+    return may_have_runs ? IV_ROSTER_DRAINING : IV_ROSTER_ABSENT;
+  return worker->listed || may_have_runs ? IV_ROSTER_NAMED : IV_ROSTER_ABSENT;
 }
 
 /* The strings of the result belong to @a worker. */
@@ -123,7 +119,6 @@
     .mem_mb = worker->capacity.mem_mb,
     .accelerators = worker->capacity.accelerators,
     .start_time_ms = worker->start_time_ms,
-    .listed = worker->listed,
     .draining = worker->draining,
   };
 }
@@ -141,11 +136,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct iv_fleet_worker *worker = value;
-      guint state = roster_state (owner, worker);
+      enum iv_roster_state state = roster_state (owner, worker);
       changed |= state != worker->roster_state;
       worker->roster_state = state;
-      worker->recorded &= state != 0;
-      len += state != 0;
+      worker->recorded &= state != IV_ROSTER_ABSENT;
+      len += state != IV_ROSTER_ABSENT;
     }
   changed |= len != owner->roster_len;
   owner->roster_len = len;
@@ -162,7 +157,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const struct iv_fleet_worker *)value)->roster_state != 0)
+    if (((const struct iv_fleet_worker *)value)->roster_state != IV_ROSTER_ABSENT)
       rows[roster.workers.workers_len++] = pack_worker (value);
   bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_roster, &roster, IV_RECORD_MAX_BYTES);
   g_free (rows);
@@ -196,7 +191,7 @@
   while (stored && g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct iv_fleet_worker *worker = value;
-      worker->recorded = worker->roster_state != 0;
+      worker->recorded = worker->roster_state != IV_ROSTER_ABSENT;
     }
 }
 
@@ -220,7 +215,7 @@
   worker = iv_fleet_update_worker (owner->fleet, &listed, &restarted);
   worker->listed = FALSE;
   worker->unlisted_ms = now_ms;
-  worker->lost_store = !row->listed;
+  worker->drained_with_runs = row->draining;
   worker->recorded = TRUE;
   g_free (labels);
 }
