Poll idle workers while the store does not confirm the owner

Callers could see two runs of one task: an owner that is cut off from the store, from the next owner and from most workers goes on for hold_cut, 3 s, if it notices that a failure domain or a quarter of the workers are silent, else for hold, 8 s. Idle workers are not polled and passed for reachable, so beside idle ones it renewed leases until 13 s after the last confirmation, and the next owner waits for 9.6 s.

Cause: no answer was expected from an idle worker, and that counted as an answer.

While unconfirmed the owner polls idle workers every half second: their silence shows the partition, and a reply may show the fence of a newer owner.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -371,7 +371,10 @@
 tick_worker (struct iv_owner *owner, struct iv_fleet_worker *worker, gboolean confirmed,
              gint64 now_ms)
 {
-  gboolean sample_old = now_ms > worker->clock_sampled_at_ms + CLOCK_SAMPLE_MAX_MS;
+  /* Without confirmation idle workers are polled too: their silence shows a partition, and a reply
+     the fence of a newer owner. */
+  gint64 sample_max_ms = confirmed ? CLOCK_SAMPLE_MAX_MS : POLL_WAIT_MS;
+  gboolean sample_old = now_ms > worker->clock_sampled_at_ms + sample_max_ms;
   if (!worker->polling && (needs_poll (worker) || (worker->listed && sample_old))
       && now_ms >= worker->next_poll_ms)
     poll_worker (owner, worker, now_ms);
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 /* Defaults of the settings, and what cell_task.c does with them. */
+#define OWNER_TIMEOUT_MS 8000     /* hold */
 #define PARTITION_TIMEOUT_MS 3000 /* hold_cut */
 #define MEMBER_TTL_MS 1000        /* a member silent for this long may be replaced */
 #define ENTRY_TTL_MS 3300         /* an entry silent for this long is removed from the list */
@@ -194,6 +195,71 @@
   sim_free (sim);
 }
 
+/* An owner with a task on worker 0 and @a busy tasks in the other domain, half of which is idle. */
+static struct sim *
+run_beside_idle_workers (guint busy)
+{
+  struct sim *sim = sim_new (8);
+  for (guint i = 0; i < sim->count; i++) /* odd workers are in the other domain */
+    sim->workers[i].capacity_milli = i == 0 || (i % 2 == 1 && i / 2 < busy) ? 2000 : 0;
+  sim_start_owner (sim);
+  sim_make_job (1 + busy, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim_total_runs (sim), 1 + busy);
+  assert_int_equal (sim->workers[0].runs->len, 1);
+  return sim;
+}
+
+/* The other domain and the store are cut off: the owner goes on as cell_task.c lets it. Returns
+   when the last lease on worker 0 ends, counted from the last confirmation. */
+static gint64
+measure_lease_end_ms (guint busy)
+{
+  struct sim *sim = run_beside_idle_workers (busy);
+  const struct sim_worker *own = &sim->workers[0];
+  gint64 unconfirmed_ms = 0;
+  gint64 lease_end_ms;
+  for (guint i = 1; i < sim->count; i += 2)
+    sim->workers[i].unreachable = TRUE;
+  while (unconfirmed_ms <= PARTITION_TIMEOUT_MS
+         || (unconfirmed_ms <= OWNER_TIMEOUT_MS && !iv_owner_is_partitioned (sim->owner)))
+    {
+      sim->confirmed = unconfirmed_ms < MEMBER_TTL_MS;
+      sim_advance (sim, 10);
+      unconfirmed_ms += 10;
+    }
+  assert_int_equal (own->runs->len, 1);
+  lease_end_ms = unconfirmed_ms + own->lease_end_clock_ms - own->clock;
+  sim_free (sim);
+  return lease_end_ms;
+}
+
+/* Guards against a task that runs twice: a partition separates the owner and its domain from the
+   store, the other domain and the next owner. Idle workers are not polled and must not pass for
+   reachable ones, else the owner renews leases for `hold` instead of `hold_cut`, which is longer
+   than the next owner waits. */
+static void
+test_partition_is_noticed_beside_idle_workers (void **state)
+{
+  for (guint busy = 0; busy <= 3; busy++)
+    {
+      gint64 lease_end_ms = measure_lease_end_ms (busy);
+      struct sim *sim = run_beside_idle_workers (busy);
+      struct sim_worker *cut_off = &sim->workers[0];
+      print_message ("busy %u: the last lease ends after %d ms\n", busy, (int)lease_end_ms);
+      cut_off->unreachable = TRUE;
+      cut_off->lease_end_clock_ms = cut_off->clock + lease_end_ms;
+      sim_advance (sim, MEMBER_TTL_MS);
+      for (guint i = 1; i < sim->count; i += 2)
+        sim->workers[i].capacity_milli = 4000;
+      sim_start_owner (sim);
+      advance_without_duplicates (sim, 2 * sim->limits.horizon_ms);
+      assert_int_equal (sim_total_runs (sim), 1 + busy);
+      sim_free (sim);
+    }
+}
+
 /* Guards against a task that runs twice: an owner that resigns before it has read the list of
    workers knows none, and must not report that no worker is unresolved. */
 static void
@@ -293,6 +359,7 @@
     cmocka_unit_test (test_worker_that_drained_without_runs_is_not_waited_for),
     cmocka_unit_test (test_worker_that_left_without_runs_is_not_waited_for),
     cmocka_unit_test (test_missing_roster_is_waited_out),
+    cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
     cmocka_unit_test (test_handover_before_the_list_was_read_shortens_nothing),
     cmocka_unit_test (test_draining_worker_that_is_cut_off_is_waited_for),
     cmocka_unit_test (test_silent_draining_worker_stays_recorded_until_its_lease_ends),
