Keep starts that a restarted worker may have received

Callers saw: a task ran twice when an idle worker had restarted. Cause: a restarted worker keeps its id, has seen no fence, and its clock begins anew, so that a start meant for the instance before passes every check there. An idle worker is not polled, so that its restart may be learnt only after a start has gone out. On learning it from the list the owner dropped every run of the worker, also those which the new instance had just accepted or would still carry out late, and started their tasks elsewhere. Had it kept them, the next tick would have dropped them: a worker without a reply counted as free of leases from the owner's own horizon on, long past for an old owner. Change: a restart ends only the runs that a list of the instance before had shown. The others stay until a list of the new instance has them, or lacks them after a stop that it answered or after the start's deadline. Each instance has its own handle, so that replies to calls for another one are ignored; a reply whose clock is behind tells the other instance too. The simulated workers now remember stops of runs that are not there, reset connections at a restart, and can carry out starts late.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -468,6 +468,7 @@
   const struct iv_layout *layout = task->deps.layout (task->deps.context);
   const struct iv_fleet_settings *settings = task->deps.settings;
   struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
+                                    .lease_max_ms = settings->lease_max_ms,
                                     .start_ms = settings->start_window_ms,
                                     .horizon_ms = settings->horizon_ms,
                                     .evidence_max_age_ms = settings->evidence_max_age_ms,
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -51,8 +51,12 @@
 /* A new instance keeps no state of the previous one: its clock, its fence and the sequence
    numbers of its run ends start from the beginning. */
 static void
-reset_instance (struct iv_fleet_worker *worker, gint64 start_time_ms)
+reset_instance (struct iv_fleet *fleet, struct iv_fleet_worker *worker, gint64 start_time_ms)
 {
+  g_hash_table_remove (fleet->by_handle, GUINT_TO_POINTER (worker->handle));
+  worker->handle = ++fleet->next_handle;
+  g_hash_table_insert (fleet->by_handle, GUINT_TO_POINTER (worker->handle), worker);
+  worker->polling = FALSE;
   worker->start_time_ms = start_time_ms;
   worker->roster_state = IV_ROSTER_ABSENT; /* its address may have changed */
   worker->fenced = FALSE;
@@ -79,17 +83,15 @@
   if (worker == NULL)
     {
       worker = g_new0 (struct iv_fleet_worker, 1);
-      worker->handle = ++fleet->next_handle;
       worker->id = g_strdup (listed->id);
       worker->runs = g_ptr_array_new ();
-      reset_instance (worker, listed->start_time_ms);
+      reset_instance (fleet, worker, listed->start_time_ms);
       g_hash_table_insert (fleet->by_id, worker->id, worker);
-      g_hash_table_insert (fleet->by_handle, GUINT_TO_POINTER (worker->handle), worker);
     }
   else if (listed->start_time_ms > worker->start_time_ms)
     {
       *restarted = TRUE;
-      reset_instance (worker, listed->start_time_ms);
+      reset_instance (fleet, worker, listed->start_time_ms);
     }
   replace_string (&worker->service, listed->service);
   replace_string (&worker->address, listed->address);
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -60,6 +60,7 @@
   gint64 acked_clock_ms; /**< when the worker replied to the last start or stop; a list that
                               is not newer does not prove the run absent */
   gint64 stop_sent_ms;
+  gboolean listed;            /**< in a list of the present instance of the worker */
   guint percent;              /**< progress, as last listed */
   gint64 progress_changed_ms; /**< when `percent` last changed */
   gint64 reported_load;   /**< tail latency in ms for a latency-critical task, else cores in use, in
@@ -86,7 +87,8 @@
 /** One worker. */
 struct iv_fleet_worker
 {
-  guint32 handle; /**< identifies the worker in this process; never reused */
+  guint32 handle; /**< identifies this instance of the worker in this process; never reused, so
+                     that replies to calls for the instance before find no worker */
   char *id;
   char *service;
   char *address;
@@ -106,7 +108,9 @@
   gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
   gboolean drained_with_runs; /**< it was draining in the roster of the previous owner */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
+  gboolean restarted;         /**< this owner knew an instance before the present one */
   gboolean fenced;            /**< it has replied under the term of this owner */
+  gint64 horizon_end_ms;      /**< if it stays silent, no run is left on it from then on */
   gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
   gint64 clock_sampled_at_ms; /**< ...and when that reply came, on the owner's clock */
   gint64 lease_end_clock_ms;  /**< latest end of a lease that this or a previous owner sent it */
@@ -135,7 +139,7 @@
 void iv_fleet_free (struct iv_fleet *fleet);
 
 /** Add or update a worker; a list entry of an older instance than the known one is ignored.
- *  @a restarted is set when a newer instance replaces the known one: the caller drops the runs.
+ *  @a restarted is set when a newer instance replaces the known one: the caller sees to the runs.
  */
 struct iv_fleet_worker *iv_fleet_update_worker (struct iv_fleet *fleet,
                                                 const struct iv_listed_worker *listed,
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -283,7 +283,7 @@
   gboolean was_draining = worker && worker->draining;
   worker = iv_fleet_update_worker (owner->fleet, listed, &restarted);
   if (restarted)
-    iv_owner_drop_runs (owner, worker, "reborn");
+    iv_owner_worker_restarted (owner, worker, now_ms);
   if (worker->draining && !was_draining)
     iv_event (IV_LEVEL_INFO, "worker.draining", "worker=%s", worker->id);
   owner->needs_dispatch = TRUE;
@@ -330,7 +330,7 @@
 leases_expired (const struct iv_owner *owner, const struct iv_fleet_worker *worker, gint64 now_ms)
 {
   if (!worker->fenced)
-    return now_ms > owner->owned_since_ms + owner->limits.horizon_ms;
+    return now_ms > MAX (owner->owned_since_ms + owner->limits.horizon_ms, worker->horizon_end_ms);
   return worker->failures > 0 && iv_worker_clock_min (worker, now_ms) > worker->lease_end_clock_ms;
 }
 
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -106,9 +106,10 @@
 /** Time limits, and whether capacity is reserved. */
 struct iv_owner_limits
 {
-  gint64 lease_ms;   /**< lease of a run; each poll renews it */
-  gint64 start_ms;   /**< a start request that arrives later than this is refused */
-  gint64 horizon_ms; /**< after this, no run of a previous owner exists on a silent worker */
+  gint64 lease_ms;     /**< lease of a run; each poll renews it */
+  gint64 lease_max_ms; /**< a worker shortens a longer lease to this */
+  gint64 start_ms;     /**< a start request that arrives later than this is refused */
+  gint64 horizon_ms;   /**< after this, no run of a previous owner exists on a silent worker */
   /** No task starts when the state of the failure domains is older than this. */
   gint64 evidence_max_age_ms;
   /** Best-effort tasks must not keep a tail latency over its target for longer than this. */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -77,6 +77,25 @@
 /** Every run on @a worker is gone: requeue their tasks. @a why is logged. */
 void iv_owner_drop_runs (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *why);
 
+/** A newer instance of @a worker is known: requeue the tasks of the runs that the instance before
+ * had listed, which died with it. It may have received the other starts and stops itself. Fences,
+ *  leases and clocks of the instance before mean nothing to it. rebirth.c. */
+void iv_owner_worker_restarted (struct iv_owner *owner, struct iv_fleet_worker *worker,
+                                gint64 now_ms);
+
+/** Whether a reply with reading @a clock to a call sent at @a sent_ms is of another instance than
+ *  the known one: a clock that is behind has started anew. */
+gboolean iv_owner_is_other_instance (const struct iv_fleet_worker *worker, gint64 sent_ms,
+                                     gint64 clock);
+
+/** The start of @a run may have been carried out by a newer instance, or may still be. A list of
+ *  that instance proves it absent if it lacks the run after a stop, or after the start's deadline,
+ *  which a worker compares with its own clock in whichever instance. */
+void iv_owner_doubt_run (struct iv_run *run);
+
+/** Whether @a run waits for the first list of a newer instance. */
+gboolean iv_owner_is_doubted (const struct iv_run *run);
+
 /** Log the load of the cell when the log interval has passed: owner_load.c. */
 void iv_owner_log_load (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -69,14 +69,26 @@
 {
   struct iv_fleet_worker *worker = iv_fleet_worker (owner->fleet, handle);
   struct iv_run *run = worker ? iv_run_find (worker, name, number) : NULL;
+  gboolean other_instance;
   if (run == NULL || authority_expired (owner, now_ms))
     return;
-  if (clock > 0)
+  other_instance = iv_owner_is_other_instance (worker, run->sent_ms, clock);
+  if (clock > 0 && !other_instance)
     note_reply (worker, clock, now_ms);
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
   if (run->phase != IV_RUN_PHASE_STARTING)
     return;
+  if (outcome == IV_COMMAND_OK && other_instance)
+    {
+      /* Until that instance replies to a poll, its lease may be as long as any. */
+      iv_owner_doubt_run (run);
+      worker->lease_end_clock_ms
+          = MAX (worker->lease_end_clock_ms,
+                 iv_worker_clock (worker, now_ms) + owner->limits.lease_max_ms);
+      worker->next_poll_ms = now_ms;
+      return;
+    }
   if (outcome == IV_COMMAND_OK)
     {
       run->phase = IV_RUN_PHASE_RUNNING;
@@ -113,7 +125,8 @@
   if (outcome == IV_COMMAND_FENCED && worker)
     depose (owner, worker);
   if (run == NULL || run->phase != IV_RUN_PHASE_STOPPING || outcome != IV_COMMAND_OK
-      || authority_expired (owner, now_ms))
+      || authority_expired (owner, now_ms)
+      || iv_owner_is_other_instance (worker, run->stop_sent_ms, clock))
     return;
   note_reply (worker, clock, now_ms);
   run->acked_clock_ms = clock;
@@ -278,10 +291,11 @@
 
 static void
 note_progress (struct iv_owner *owner, struct iv_run *run, const struct iv_listed_run *listed,
-               gint64 now_ms)
+               gboolean instance_known, gint64 now_ms)
 {
   struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
+  run->listed |= instance_known;
   run->reported_load = listed->reported_load;
   if (listed->percent != run->percent)
     {
@@ -326,7 +340,7 @@
 
 static void
 drop_absent (struct iv_owner *owner, struct iv_fleet_worker *worker,
-             const struct iv_poll_reply *reply)
+             const struct iv_poll_reply *reply, gint64 now_ms)
 {
   if (reply->ends->len >= LIST_ENDS_MAX)
     return;
@@ -335,7 +349,11 @@
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
       struct iv_task_name name = run->name;
       gint64 number = run->number;
-      if (is_listed (reply, run) || !is_proven_absent (run, reply->clock))
+      if (is_listed (reply, run))
+        continue;
+      if (iv_owner_is_doubted (run))
+        iv_owner_stop_run (owner, run, now_ms);
+      if (!is_proven_absent (run, reply->clock))
         continue;
       iv_event (IV_LEVEL_INFO, "run.absent",
                 "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s phase=%s", name.job,
@@ -394,20 +412,22 @@
           adopt (owner, worker, listed, now_ms);
           run = iv_run_find (worker, &listed->name, listed->number);
         }
-      note_progress (owner, run, listed, now_ms);
+      note_progress (owner, run, listed, reply->start_time_ms == worker->start_time_ms, now_ms);
     }
-  drop_absent (owner, worker, reply);
+  drop_absent (owner, worker, reply, now_ms);
   stop_stalled (owner, worker, now_ms);
   iv_sharing_update (owner, worker, now_ms);
 }
 
 /* From the first reply on the worker refuses the calls of previous owners, which may have extended
-   leases until just now. */
+   leases until just now. Calls meant for the instance before may have given this one the longest
+   lease, as they name times on another clock. */
 static void
 note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock)
 {
+  gint64 lease_ms = worker->restarted ? owner->limits.lease_max_ms : owner->limits.lease_ms;
   worker->fenced = TRUE;
-  worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + owner->limits.lease_ms);
+  worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + lease_ms);
   owner->needs_dispatch = TRUE;
 }
 
@@ -445,7 +465,7 @@
       g_strfreev ((char **)listed.labels);
       g_free (address);
       worker->listed = was_listed;
-      iv_owner_drop_runs (owner, worker, "reborn");
+      iv_owner_worker_restarted (owner, worker, now_ms);
     }
   if (reply->start_time_ms > 0 && reply->start_time_ms < worker->start_time_ms)
     return;
--- /dev/null
+++ b/jobs/rebirth.c
@@ -0,0 +1,71 @@
+#include "owner_private.h"
+
+#include "event.h"
+
+#define CLOCK_SLOW_MARGIN_PERCENT 102 /* a lease on the slowest clock permitted */
+
+/* Lower bound of the worker's clock at @a at_ms, which may be before its newest sample. */
+static gint64
+clock_min_at (const struct iv_fleet_worker *worker, gint64 at_ms)
+{
+  return MIN (iv_worker_clock (worker, at_ms), iv_worker_clock_min (worker, at_ms));
+}
+
+gboolean
+iv_owner_is_other_instance (const struct iv_fleet_worker *worker, gint64 sent_ms, gint64 clock)
+{
+  return clock > 0 && clock < clock_min_at (worker, sent_ms);
+}
+
+void
+iv_owner_doubt_run (struct iv_run *run)
+{
+  if (run->phase != IV_RUN_PHASE_STOPPING)
+    run->phase = IV_RUN_PHASE_UNCONFIRMED;
+  run->acked_clock_ms = G_MAXINT64;
+  run->stop_sent_ms = 0;
+}
+
+gboolean
+iv_owner_is_doubted (const struct iv_run *run)
+{
+  return run->phase == IV_RUN_PHASE_UNCONFIRMED;
+}
+
+/* Takes the runs that no list of the instance before had out of the worker's. */
+static GPtrArray *
+steal_unlisted (struct iv_fleet_worker *worker)
+{
+  GPtrArray *kept = g_ptr_array_new ();
+  for (guint i = worker->runs->len; i-- > 0;)
+    {
+      struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (!run->listed)
+        g_ptr_array_add (kept, g_ptr_array_remove_index_fast (worker->runs, i));
+    }
+  return kept;
+}
+
+void
+iv_owner_worker_restarted (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  GPtrArray *kept = steal_unlisted (worker);
+  iv_owner_drop_runs (owner, worker, "reborn");
+  for (guint i = 0; i < kept->len; i++)
+    {
+      struct iv_run *run = g_ptr_array_index (kept, i);
+      iv_owner_doubt_run (run);
+      g_ptr_array_add (worker->runs, run);
+      iv_event (IV_LEVEL_INFO, "run.doubted",
+                "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s term=%" G_GINT64_FORMAT
+                " life=%" G_GINT64_FORMAT " sent_ago_ms=%" G_GINT64_FORMAT,
+                run->name.job, run->name.occurrence, run->name.step, run->name.index, run->number,
+                worker->id, owner->term, worker->start_time_ms, now_ms - run->sent_ms);
+    }
+  g_ptr_array_free (kept, TRUE);
+  worker->restarted = TRUE;
+  worker->horizon_end_ms
+      = now_ms
+        + MAX (owner->limits.horizon_ms,
+               owner->limits.lease_max_ms * CLOCK_SLOW_MARGIN_PERCENT / 100);
+}
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -29,7 +29,9 @@
   gint64 sent_ms;
   gint64 reply_ms;      /* when the reply arrives; a timeout arrives CALL_TIMEOUT_MS later */
   gint64 wait_until_ms; /* a poll without new ends gets its reply then */
-  gboolean done;        /* handled by the worker */
+  gint64 late_ms;       /* carried out this long after it was sent, without a reply */
+  gboolean dropped;     /* its connection was reset before the worker handled it */
+  gboolean done;        /* handled by the worker, or its timeout was delivered */
   enum iv_command_outcome outcome;
   gint64 clock;
   struct iv_poll_reply *poll;
@@ -68,6 +70,7 @@
   call->number = command->number;
   call->until = command->deadline_clock_ms;
   call->has_ticket = g_strcmp0 (command->ticket, worker->id) == 0;
+  call->late_ms = sim->workers[call->worker].late_starts_ms;
   sim->start_calls++;
 }
 
@@ -164,11 +167,11 @@
 }
 
 static gboolean
-has_ended (const struct sim_worker *worker, const struct sim_call *call)
+is_in (const GArray *ends, const struct sim_call *call)
 {
-  for (guint i = 0; i < worker->ends->len; i++)
+  for (guint i = 0; i < ends->len; i++)
     {
-      const struct iv_listed_end *end = &g_array_index (worker->ends, struct iv_listed_end, i);
+      const struct iv_listed_end *end = &g_array_index (ends, struct iv_listed_end, i);
       if (is_same_task (&end->name, &call->name) && end->number >= call->number)
         return TRUE;
     }
@@ -188,7 +191,7 @@
   struct sim_run run = { .name = call->name, .number = call->number, .cpu_limit_percent = 100 };
   if (call->until < worker->clock)
     return IV_COMMAND_EXPIRED;
-  if (has_ended (worker, call))
+  if (is_in (worker->ends, call) || is_in (worker->stopped, call))
     return IV_COMMAND_STALE;
   if (worker->refuses_starts)
     return IV_COMMAND_NO_CAPACITY;
@@ -208,6 +211,7 @@
 static enum iv_command_outcome
 handle_stop (struct sim_worker *worker, const struct sim_call *call)
 {
+  struct iv_listed_end stopped = { .name = call->name, .number = call->number };
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
@@ -217,6 +221,7 @@
           return IV_COMMAND_OK;
         }
     }
+  g_array_append_val (worker->stopped, stopped);
   return IV_COMMAND_OK;
 }
 
@@ -305,17 +310,34 @@
   g_free (call);
 }
 
+static gboolean
+advance_late_call (struct sim *sim, struct sim_call *call)
+{
+  if (!call->done && sim->now_ms >= call->reply_ms + CALL_TIMEOUT_MS)
+    {
+      call->done = TRUE;
+      call->outcome = IV_COMMAND_UNKNOWN;
+      deliver (sim, call);
+    }
+  if (sim->now_ms < call->sent_ms + call->late_ms)
+    return FALSE;
+  handle_call (sim, call);
+  return TRUE;
+}
+
 static gboolean
 advance_call (struct sim *sim, struct sim_call *call)
 {
   struct sim_worker *worker = &sim->workers[call->worker];
+  if (call->late_ms > 0)
+    return advance_late_call (sim, call);
   if (!call->done)
     {
       if (call->kind == CALL_START && sim->now_ms < call->sent_ms + worker->start_delay_ms)
         return FALSE;
       if (call->kind == CALL_STOP && sim->now_ms < call->sent_ms + worker->stop_delay_ms)
         return FALSE;
-      if (worker->unreachable || worker->resets_calls)
+      if (worker->unreachable || worker->resets_calls || call->dropped)
         {
           call->outcome = IV_COMMAND_UNKNOWN;
           if (sim->now_ms < call->reply_ms + (worker->resets_calls ? 0 : CALL_TIMEOUT_MS))
@@ -450,6 +472,7 @@
   sim->store_rosters = TRUE;
   sim->attempts = 3;
   sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
+                                          .lease_max_ms = SIM_LEASE_MAX_MS,
                                           .start_ms = 1500,
                                           .horizon_ms = 8600,
                                           .evidence_max_age_ms = 5000,
@@ -465,6 +488,7 @@
       worker->capacity_milli = 4000;
       worker->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
       worker->ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
+      worker->stopped = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
     }
   return sim;
 }
@@ -484,6 +508,7 @@
     {
       g_array_free (sim->workers[i].runs, TRUE);
       g_array_free (sim->workers[i].ends, TRUE);
+      g_array_free (sim->workers[i].stopped, TRUE);
     }
   g_free (sim);
 }
@@ -572,6 +597,12 @@
   worker->fence = 0;
   worker->lease_end_clock_ms = 0;
   worker->start_time_ms++;
+  g_array_set_size (worker->stopped, 0);
+  for (guint j = 0; j < sim->calls->len; j++)
+    {
+      struct sim_call *call = g_ptr_array_index (sim->calls, j);
+      call->dropped |= call->worker == i && !call->done;
+    }
 }
 
 void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -47,6 +47,10 @@
   GArray *runs;          /**< of struct sim_run */
   GArray *ends;          /**< of struct iv_listed_end */
   gint64 last_end;       /**< sequence number of the newest end */
+  GArray *stopped;       /**< of struct iv_listed_end: stops of runs that were not there */
+  /** When not 0: starts that are sent now get no reply, and the instance that is there after this
+   *  time carries them out. Longer than the timeout of a call. */
+  gint64 late_starts_ms;
 };
 
 /** A call that has not been delivered, or has no reply yet. */
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -77,12 +77,176 @@
   sim_free (sim);
 }
 
+/* Advances by @a ms and checks all the while that no task runs twice. */
+static void
+advance_without_duplicates (struct sim *sim, gint64 ms)
+{
+  for (gint64 i = 0; i < ms; i += 10)
+    {
+      sim_advance (sim, 10);
+      assert_true (sim_max_concurrent_runs (sim) <= 1);
+    }
+}
+
+/* A cell whose worker 0 alone has capacity, after @a owned_ms; both workers are idle. */
+static struct sim *
+cell_with_idle_workers (gint64 owned_ms)
+{
+  struct sim *sim = sim_new (2);
+  sim->workers[0].clock = 0;
+  sim->workers[1].capacity_milli = 0;
+  sim_start_owner (sim);
+  sim_advance (sim, owned_ms);
+  sim_make_job (1, 0);
+  return sim;
+}
+
+/* From now on worker 1 has capacity too. */
+static void
+give_capacity (struct sim *sim)
+{
+  sim->workers[1].capacity_milli = 4000;
+  iv_fleet_find_by_id (iv_owner_fleet (sim->owner), "w1")->capacity.cpu_milli = 4000;
+}
+
+/* Guards against a second start of a task that a new instance of a worker runs already: an idle
+   worker restarts unnoticed, is given a start, and then its restart is learnt, from the list after
+   @a list_after_ms or from a poll. The worker may fall silent then, up to the longest lease. */
+static void
+test_start_on_a_new_instance_is_kept (void **state)
+{
+  static const struct
+  {
+    gint64 list_after_ms; /* from the start; 0: the start is in flight; -1: the worker tells */
+    gboolean silent;
+    gint64 owned_ms; /* by then; beyond the horizon or not */
+  } cases[] = { { 0, FALSE, 100 },   { 10, FALSE, 100 },  { 20, FALSE, 100 },  { 100, FALSE, 100 },
+                { -1, FALSE, 100 },  { -1, TRUE, 100 },   { -1, TRUE, 20000 }, { 0, TRUE, 100 },
+                { 20, TRUE, 100 },   { 100, TRUE, 100 },  { 0, FALSE, 20000 }, { 0, TRUE, 20000 },
+                { 20, TRUE, 20000 }, { 100, TRUE, 20000 } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sim *sim = cell_with_idle_workers (cases[i].owned_ms);
+      sim_restart_worker (sim, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 10);
+      assert_int_equal (sim->start_calls, 1);
+      give_capacity (sim);
+      advance_without_duplicates (sim, MAX (cases[i].list_after_ms, 0));
+      if (cases[i].list_after_ms >= 0)
+        sim_list_workers (sim);
+      if (cases[i].silent)
+        sim_advance (sim, 20);
+      sim->workers[0].unreachable = cases[i].silent;
+      advance_without_duplicates (sim, 14000);
+      assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+      sim_free (sim);
+    }
+}
+
+/* Guards against a start without a reply that the next instance of the worker carries out, while
+   the task runs elsewhere because the instance before was replaced. */
+static void
+test_late_start_on_a_new_instance_is_refused (void **state)
+{
+  static const struct
+  {
+    gint64 silent_from_ms, restart_ms, silent_until_ms; /* after the start */
+    gint64 late_ms;
+    gint64 owned_ms; /* by then; also the clock of the worker */
+    gint64 stop_delay_ms;
+  } cases[] = { { 10, 300, 300, 4000, 9000 },
+                { 10, 900, 900, 4000, 100 },
+                { 10, 900, 900, 4000, 9000 },
+                { 10, 1200, 1300, 4000, 9000 },
+                { 10, 900, 900, 3500, 9000, 3130 } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sim *sim = cell_with_idle_workers (cases[i].owned_ms);
+      sim->workers[0].late_starts_ms = cases[i].late_ms;
+      sim->workers[0].stop_delay_ms = cases[i].stop_delay_ms;
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 10);
+      assert_int_equal (sim->start_calls, 1);
+      sim->workers[0].late_starts_ms = 0;
+      give_capacity (sim);
+      for (gint64 now = 0; now < 12000; now += 10)
+        {
+          sim->workers[0].unreachable
+              = now >= cases[i].silent_from_ms && now < cases[i].silent_until_ms;
+          if (now == cases[i].restart_ms)
+            sim_restart_worker (sim, 0);
+          if (now == cases[i].silent_until_ms || now == cases[i].restart_ms)
+            sim_list_workers (sim);
+          advance_without_duplicates (sim, 10);
+          /* The task need not wait for the late start. */
+          if (now == cases[i].silent_until_ms + 1500 && cases[i].stop_delay_ms == 0)
+            assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+        }
+      assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+      sim_free (sim);
+    }
+}
+
+/* Guards against replies to calls for the instance before, which prove nothing about runs on the
+   present one. */
+static void
+test_replies_of_the_old_instance_prove_nothing (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (100);
+  struct iv_task_name name = { .job = JOB_ID };
+  const struct iv_fleet_worker *worker = iv_fleet_find_by_id (iv_owner_fleet (sim->owner), "w0");
+  guint32 handle = worker->handle;
+  struct iv_poll_reply reply
+      = { .clock = 100,
+          .runs = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_run)),
+          .ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end)) };
+  gint64 number;
+  sim->workers[0].late_starts_ms = 20000;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 10);
+  sim->workers[0].unreachable = TRUE;
+  number = ((struct iv_run *)g_ptr_array_index (worker->runs, 0))->number;
+  sim_advance (sim, 900);
+  sim_restart_worker (sim, 0);
+  give_capacity (sim);
+  sim_list_workers (sim);
+  iv_owner_stop_replied (sim->owner, handle, &name, number, IV_COMMAND_OK, 1, sim->now_ms);
+  reply.start_time_ms = sim->workers[0].start_time_ms;
+  iv_owner_poll_replied (sim->owner, worker->handle, IV_COMMAND_OK, &reply, sim->now_ms);
+  sim_advance (sim, 500);
+  assert_int_equal (sim->start_calls, 1);
+  g_array_free (reply.runs, TRUE);
+  g_array_free (reply.ends, TRUE);
+  sim_free (sim);
+}
+
+/* What the instance before had listed died with it: its tasks start again at once. */
+static void
+test_listed_runs_end_with_their_instance (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (100);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 600);
+  sim_restart_worker (sim, 0);
+  give_capacity (sim);
+  sim_list_workers (sim);
+  sim_advance (sim, 40);
+  assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+  assert_int_equal (sim->start_calls, 2);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_end_of_an_unwanted_run_frees_no_task),
     cmocka_unit_test (test_task_waits_for_the_end_of_an_old_run),
+    cmocka_unit_test (test_start_on_a_new_instance_is_kept),
+    cmocka_unit_test (test_late_start_on_a_new_instance_is_refused),
+    cmocka_unit_test (test_replies_of_the_old_instance_prove_nothing),
+    cmocka_unit_test (test_listed_runs_end_with_their_instance),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -157,6 +157,8 @@
   FIELD (iv_fleet_settings, advice, .kind = IV_FIELD_ADDRESS),
   KEYED ("lease", iv_fleet_settings, lease_ms, .kind = IV_FIELD_DURATION, .default_value = 5000,
          .min = 1000, .max = HOUR_MS),
+  KEYED ("lease_max", iv_fleet_settings, lease_max_ms, .kind = IV_FIELD_DURATION,
+         .default_value = 10000, .min = 1000, .max = HOUR_MS),
   KEYED ("start_window", iv_fleet_settings, start_window_ms, .kind = IV_FIELD_DURATION,
          .default_value = 1500, .min = 100, .max = HOUR_MS),
   KEYED ("evidence", iv_fleet_settings, evidence_max_age_ms, .kind = IV_FIELD_DURATION,
@@ -213,6 +215,8 @@
       && fleet->horizon_ms < fleet->owner_partition_timeout_ms + fleet->lease_ms * 102 / 100)
     iv_findings_add (findings, fleet->location,
                      "horizon must be at least hold_cut and 1.02 times lease, or tasks run twice");
+  if (fleet->jobs && fleet->lease_max_ms < fleet->lease_ms)
+    iv_findings_add (findings, fleet->location, "lease_max must not be below lease");
   if (fleet->jobs && fleet->owner_timeout_ms < fleet->owner_partition_timeout_ms)
     iv_findings_add (findings, fleet->location, "hold must not be below hold_cut");
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -113,6 +113,7 @@
   char *metrics;              /**< address of the metrics; NULL: not served */
   char *advice;               /**< address of the advice service; NULL: none */
   gint64 lease_ms;            /**< lease of a run on its worker */
+  gint64 lease_max_ms;        /**< a worker shortens a longer lease to this */
   gint64 start_window_ms;     /**< a worker refuses a start that arrives later */
   gint64 evidence_max_age_ms; /**< no start if the operators' commands were last read longer ago */
   gint64 harm_ms; /**< longest time that best-effort tasks keep a tail latency over its target */
--- a/settings/tests/settings_test.c
+++ b/settings/tests/settings_test.c
@@ -76,10 +76,11 @@
 {
   assert_findings (HEAD PLATFORM MEMBERS "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6'}\n",
                    "");
-  assert_findings (HEAD PLATFORM MEMBERS
-                   "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6', lease: 9s, hold: 2s}\n",
-                   "s:9:8: horizon must be at least hold_cut and 1.02 times lease, or tasks run "
-                   "twice\ns:9:8: hold must not be below hold_cut\n");
+  assert_findings (
+      HEAD PLATFORM MEMBERS
+      "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6', lease: 9s, lease_max: 8s, hold: 2s}\n",
+      "s:9:8: horizon must be at least hold_cut and 1.02 times lease, or tasks run "
+      "twice\ns:9:8: lease_max must not be below lease\ns:9:8: hold must not be below hold_cut\n");
 }
 
 int
