Stop lost starts on the next instance of their worker

Callers saw: a task ran twice, and until its lease ended, when a worker restarted within seconds of a start that had got no reply. Cause: a start without a reply may be carried out seconds later. The owner has it stopped, or waits for the leases of a silent worker, and then starts the task elsewhere. When the worker restarts after that proof, the new instance knows of no stop and its clock is behind the start's deadline: it accepts the late start, and an idle worker is not polled, so that nobody notices. When the worker restarts, each becomes a run that is stopped on the new instance, and a task that waits counts as placed as that run until the new instance lacks it after it answered the stop. What stays: a late start that arrives before the stop, or one of a previous owner, of which the next one knows nothing.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -11,6 +11,7 @@
   struct iv_fleet_worker *worker = data;
   g_ptr_array_set_free_func (worker->runs, g_free);
   g_ptr_array_free (worker->runs, TRUE);
+  g_array_free (worker->lost_starts, TRUE);
   g_free (worker->id);
   g_free (worker->service);
   g_free (worker->address);
@@ -85,6 +86,7 @@
       worker = g_new0 (struct iv_fleet_worker, 1);
       worker->id = g_strdup (listed->id);
       worker->runs = g_ptr_array_new ();
+      worker->lost_starts = g_array_new (FALSE, FALSE, sizeof (struct iv_lost_start));
       reset_instance (fleet, worker, listed->start_time_ms);
       g_hash_table_insert (fleet->by_id, worker->id, worker);
     }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -125,6 +125,15 @@
   guint consecutive_failed_runs;
   gint64 quarantined_until_ms; /**< no new runs before this, after failed or refused ones */
   GPtrArray *runs;             /**< of struct iv_run */
+  GArray *lost_starts;         /**< of struct iv_lost_start */
+};
+
+/** A start without a reply, which may be carried out late by a later instance of the worker. */
+struct iv_lost_start
+{
+  struct iv_task_name name;
+  gint64 number;
+  gint64 until_ms; /**< it is not carried out later than this */
 };
 
 /** All workers of a cell. */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -128,6 +128,18 @@
   exec->placed--;
 }
 
+void
+iv_owner_place_task (struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+                     gint64 number)
+{
+  task->state = IV_JOB_TASK_PLACED;
+  task->placed_run = number;
+  task->runs_known = TRUE;
+  stage->placed++;
+  exec->placed++;
+  exec->started = TRUE;
+}
+
 void
 iv_owner_requeue_task (struct iv_owner *owner, const struct iv_task_name *name, gint64 number,
                        const char *checkpoint)
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -74,6 +74,10 @@
 /** Number of failed runs of one task after which @a job fails. */
 guint iv_owner_attempt_limit (struct iv_owner *owner, const struct iv_job_entry *job);
 
+/** Count @a task, which waits, as placed as run @a number. */
+void iv_owner_place_task (struct iv_job_exec *exec, struct iv_stage *stage,
+                          struct iv_job_task *task, gint64 number);
+
 /** Every run on @a worker is gone: requeue their tasks. @a why is logged. */
 void iv_owner_drop_runs (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *why);
 
@@ -93,6 +97,13 @@
  *  which a worker compares with its own clock in whichever instance. */
 void iv_owner_doubt_run (struct iv_run *run);
 
+/** The start of @a run got no reply: should the worker restart, the new instance is told to stop
+ * it, whatever was proven of the instance before. */
+void iv_owner_note_lost_start (const struct iv_run *run, gint64 now_ms);
+
+/** The start of @a run was carried out after all. */
+void iv_owner_forget_lost_start (const struct iv_run *run);
+
 /** Whether @a run waits for the first list of a newer instance. */
 gboolean iv_owner_is_doubted (const struct iv_run *run);
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -102,6 +102,7 @@
     {
       /* After the stop, the worker refuses the start if it arrives later. */
       worker->failures += outcome == IV_COMMAND_UNKNOWN;
+      iv_owner_note_lost_start (run, now_ms);
       run->phase = IV_RUN_PHASE_UNCONFIRMED;
       iv_owner_stop_run (owner, run, now_ms);
       return;
@@ -269,14 +270,7 @@
   run->phase = IV_RUN_PHASE_RUNNING;
   run->workload = iv_sharing_workload (owner, run->step);
   if (task && stage && task->state == IV_JOB_TASK_WAITING)
-    {
-      task->state = IV_JOB_TASK_PLACED;
-      task->placed_run = listed->number;
-      task->runs_known = TRUE;
-      stage->placed++;
-      exec->placed++;
-      exec->started = TRUE;
-    }
+    iv_owner_place_task (exec, stage, task, listed->number);
   if (task == NULL || task->placed_run != listed->number || listed->number < task->run)
     {
       iv_event (IV_LEVEL_INFO, "run.unwanted",
@@ -295,6 +289,8 @@
 {
   struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
+  if (instance_known && !run->listed)
+    iv_owner_forget_lost_start (run);
   run->listed |= instance_known;
   run->reported_load = listed->reported_load;
   if (listed->percent != run->percent)
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -145,7 +145,8 @@
 }
 
 /* Guards against a start without a reply that the next instance of the worker carries out, while
-   the task runs elsewhere because the instance before was replaced. */
+   the task runs elsewhere because the instance before was replaced, was proven not to run it, or
+   was silent for too long. */
 static void
 test_late_start_on_a_new_instance_is_refused (void **state)
 {
@@ -155,10 +156,9 @@
     gint64 late_ms;
     gint64 owned_ms; /* by then; also the clock of the worker */
     gint64 stop_delay_ms;
-  } cases[] = { { 10, 300, 300, 4000, 9000 },
-                { 10, 900, 900, 4000, 100 },
-                { 10, 900, 900, 4000, 9000 },
-                { 10, 1200, 1300, 4000, 9000 },
+  } cases[] = { { 10, 300, 300, 4000, 9000 },      { 10, 900, 900, 4000, 100 },
+                { 10, 900, 900, 4000, 9000 },      { 10, 1200, 1300, 4000, 9000 },
+                { 20000, 1700, 1700, 4000, 9000 }, { 10, 6900, 7000, 9000, 9000 },
                 { 10, 900, 900, 3500, 9000, 3130 } };
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     {
