Log why a run is held to be over

Cause: after a task ran twice the logs didn't tell on what ground the owner had started it again, nor on which instance of the worker. Change: run.absent, run.lapsed and the new run.dropped log the run with the owner's term, the start time of the worker instance, the evidence and its age; run.refused the term, the instance and the time since the start was sent. Each is bounded like every event. Keys are added only, names stay.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -21,6 +21,8 @@
 static const struct iv_interference_prior sharing_prior
     = { .mean = 1.0, .variance = 4.0, .noise = 0.06, .drift_per_second = 0.02 };
 
+static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
+
 static void
 take_over_job (void *context, struct iv_job_entry *job)
 {
@@ -270,6 +272,18 @@
     iv_owner_end_job (owner, exec, IVJ_CANCELLED, now_ms);
 }
 
+void
+iv_owner_log_evidence (const struct iv_owner *owner, enum iv_level level, const char *event,
+                       const struct iv_run *run, const char *evidence, gint64 age_ms)
+{
+  iv_event (level, event,
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s phase=%s term=%" G_GINT64_FORMAT
+            " life=%" G_GINT64_FORMAT " evidence=%s age_ms=%" G_GINT64_FORMAT,
+            run->name.job, run->name.occurrence, run->name.step, run->name.index, run->number,
+            run->worker->id, phase_names[run->phase], owner->term, run->worker->start_time_ms,
+            evidence, age_ms);
+}
+
 void
 iv_owner_drop_runs (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *why)
 {
@@ -281,6 +295,8 @@
       struct iv_run *run = g_ptr_array_index (worker->runs, 0);
       struct iv_task_name name = run->name;
       gint64 number = run->number;
+      iv_owner_log_evidence (owner, IV_LEVEL_INFO, "run.dropped", run, why,
+                             owner->wall_ms - worker->start_time_ms);
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, number, NULL);
     }
@@ -337,12 +353,19 @@
   owner->effects.poll (owner->effects.context, worker, lease, wait);
 }
 
+/* When no run is left on a worker that has not replied. */
+static gint64
+silent_horizon_ms (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
+{
+  return MAX (owner->owned_since_ms + owner->limits.horizon_ms, worker->horizon_end_ms);
+}
+
 /* Whether every lease on a silent worker has expired by the slowest possible rate of its clock. */
 static gboolean
 leases_expired (const struct iv_owner *owner, const struct iv_fleet_worker *worker, gint64 now_ms)
 {
   if (!worker->fenced)
-    return now_ms > MAX (owner->owned_since_ms + owner->limits.horizon_ms, worker->horizon_end_ms);
+    return now_ms > silent_horizon_ms (owner, worker);
   return worker->failures > 0 && iv_worker_clock_min (worker, now_ms) > worker->lease_end_clock_ms;
 }
 
@@ -371,9 +394,11 @@
       gint64 number = run->number;
       if (!long_unlisted && is_last_attempt (owner, run))
         continue;
-      iv_event (IV_LEVEL_WARNING, "run.lapsed",
-                "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s", name.job, name.occurrence,
-                name.step, name.index, number, worker->id);
+      iv_owner_log_evidence (owner, IV_LEVEL_WARNING, "run.lapsed", run,
+                             worker->fenced ? "lease_ended" : "horizon_ended",
+                             worker->fenced
+                                 ? iv_worker_clock_min (worker, now_ms) - worker->lease_end_clock_ms
+                                 : now_ms - silent_horizon_ms (owner, worker));
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, number, NULL);
     }
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -5,6 +5,7 @@
 #ifndef IV_OWNER_PRIVATE_H
 #define IV_OWNER_PRIVATE_H
 
+#include "event.h"
 #include "interference.h"
 #include "owner.h"
 
@@ -107,6 +108,11 @@
 /** Whether @a run waits for the first list of a newer instance. */
 gboolean iv_owner_is_doubted (const struct iv_run *run);
 
+/** Log why @a run is held to be over: task, run, worker, phase, term, start time of the worker
+ *  instance, @a evidence and its age. */
+void iv_owner_log_evidence (const struct iv_owner *owner, enum iv_level level, const char *event,
+                            const struct iv_run *run, const char *evidence, gint64 age_ms);
+
 /** Log the load of the cell when the log interval has passed: owner_load.c. */
 void iv_owner_log_load (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -25,7 +25,6 @@
 static const char *const outcome_names[]
     = { "ordered",   "fenced",  "old",          "late",     "no_room",
         "no_ticket", "refused", "another_life", "no_answer" };
-static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
 
 static void
 note_reply (struct iv_fleet_worker *worker, gint64 clock, gint64 now_ms)
@@ -96,8 +95,10 @@
       return;
     }
   iv_event (IV_LEVEL_INFO, "run.refused",
-            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s outcome=%s", name->job,
-            name->occurrence, name->step, name->index, number, worker->id, outcome_names[outcome]);
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s outcome=%s term=%" G_GINT64_FORMAT
+            " life=%" G_GINT64_FORMAT " sent_ago_ms=%" G_GINT64_FORMAT,
+            name->job, name->occurrence, name->step, name->index, number, worker->id,
+            outcome_names[outcome], owner->term, worker->start_time_ms, now_ms - run->sent_ms);
   if (outcome == IV_COMMAND_UNKNOWN || outcome == IV_COMMAND_STALE)
     {
       /* After the stop, the worker refuses the start if it arrives later. */
@@ -334,6 +335,17 @@
   return clock > run->acked_clock_ms;
 }
 
+/* Logs how much newer the list is than the last time at which @a run could start. */
+static void
+log_absent (const struct iv_owner *owner, const struct iv_run *run, gint64 clock)
+{
+  gboolean stop_answered = run->phase == IV_RUN_PHASE_STOPPING && run->acked_clock_ms != G_MAXINT64;
+  gboolean replied = stop_answered || run->phase == IV_RUN_PHASE_RUNNING;
+  iv_owner_log_evidence (owner, IV_LEVEL_INFO, "run.absent", run,
+                         stop_answered ? "stop_answered" : "listed_absent",
+                         clock - (replied ? run->acked_clock_ms : run->start_deadline_clock_ms));
+}
+
 static void
 drop_absent (struct iv_owner *owner, struct iv_fleet_worker *worker,
              const struct iv_poll_reply *reply, gint64 now_ms)
@@ -351,10 +363,7 @@
         iv_owner_stop_run (owner, run, now_ms);
       if (!is_proven_absent (run, reply->clock))
         continue;
-      iv_event (IV_LEVEL_INFO, "run.absent",
-                "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s phase=%s", name.job,
-                name.occurrence, name.step, name.index, number, worker->id,
-                phase_names[run->phase]);
+      log_absent (owner, run, reply->clock);
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, number, NULL);
     }
