Confirm an owner by its membership and a read of the claims

Callers could see many tasks run twice when a partition ended: an owner that had been removed from the group joined again and counted as confirmed at once, though its successor's claim was not read yet. It could then requeue every run whose lease had ended on the far side, which the successor had adopted. Where reads failed while joins succeeded, nothing bounded how long it renewed leases.

Cause: the membership was taken as proof that nobody else owns the cell. Only the claims tell.

The owner is confirmed while its membership has not lapsed and the claims were read since it began; hold and hold_cut count from the older of both.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -1,5 +1,6 @@
 #include "cell_private.h"
 
+#include "authority.h"
 #include "clock.h"
 #include "event.h"
 #include "names.h"
@@ -375,16 +376,26 @@
   add_cell_record (task, IV_KEY_LOAD, value, strlen (value));
 }
 
+static struct iv_confirmation
+get_confirmation (const struct iv_cell_task *task)
+{
+  const struct iv_membership *membership = task->deps.membership;
+  return (struct iv_confirmation){ iv_membership_unconfirmed_ms (membership),
+                                   iv_membership_member_ms (membership),
+                                   iv_stream_age_ms (task->deps.jobs),
+                                   task->deps.settings->member_ttl_ms };
+}
+
 /* An owner that the store does not confirm continues for a limited time, which is shorter while it
    is probably partitioned from its workers too. */
 static gboolean
-confirmation_expired (const struct iv_cell_task *task)
+confirmation_expired (const struct iv_cell_task *task, const struct iv_confirmation *confirmation)
 {
   const struct iv_fleet_settings *settings = task->deps.settings;
-  gint64 unconfirmed_ms = iv_membership_unconfirmed_ms (task->deps.membership);
-  if (unconfirmed_ms <= settings->owner_partition_timeout_ms)
+  gint64 age_ms = iv_confirmation_age_ms (confirmation);
+  if (age_ms <= settings->owner_partition_timeout_ms)
     return FALSE;
-  return unconfirmed_ms > settings->owner_timeout_ms || iv_owner_is_partitioned (task->owner);
+  return age_ms > settings->owner_timeout_ms || iv_owner_is_partitioned (task->owner);
 }
 
 static void
@@ -393,18 +404,19 @@
   struct iv_cell_task *task = context;
   gint64 now = iv_cell_task_now_ms (task);
   struct iv_owner_authority authority;
+  struct iv_confirmation confirmation;
   if (task->owner == NULL)
     return;
-  if (confirmation_expired (task))
+  confirmation = get_confirmation (task);
+  if (confirmation_expired (task, &confirmation))
     {
       iv_cell_task_end_ownership (task, "unconfirmed");
       return;
     }
   authority.evidence_age_ms = iv_stream_age_ms (task->deps.operators);
-  authority.valid_until_ms = now + task->deps.settings->owner_timeout_ms
-                             - iv_membership_unconfirmed_ms (task->deps.membership);
-  authority.confirmed
-      = iv_membership_unconfirmed_ms (task->deps.membership) < task->deps.settings->member_ttl_ms;
+  authority.valid_until_ms
+      = now + task->deps.settings->owner_timeout_ms - iv_confirmation_age_ms (&confirmation);
+  authority.confirmed = iv_confirmation_is_current (&confirmation);
   iv_owner_tick (task->owner, &authority, now, iv_clock_wall_ms ());
   if (iv_owner_is_deposed (task->owner))
     {
--- a/daemon/membership.c
+++ b/daemon/membership.c
@@ -25,6 +25,7 @@
   guint64 partitions;
   gint64 generation;
   gint64 confirmed_boot_ms;
+  gint64 member_since_boot_ms;
   gint64 sent_ms;
   gint64 sent_boot_ms;
   guint wanted_members;
@@ -60,6 +61,10 @@
     return;
   membership->generation = reply->generation;
   membership->partitions = reply->partitions;
+  /* The reply may be late: what counts is when the store can have missed a join. */
+  if (iv_clock_boot_ms () - membership->confirmed_boot_ms
+      >= membership->deps.settings->member_ttl_ms)
+    membership->member_since_boot_ms = iv_clock_boot_ms ();
   membership->confirmed_boot_ms = membership->sent_boot_ms;
   membership->deps.confirmed (membership->deps.context);
 }
@@ -196,6 +201,14 @@
   return iv_clock_boot_ms () - membership->confirmed_boot_ms;
 }
 
+gint64
+iv_membership_member_ms (const struct iv_membership *membership)
+{
+  return membership->member_since_boot_ms > 0
+             ? iv_clock_boot_ms () - membership->member_since_boot_ms
+             : 0;
+}
+
 void
 iv_membership_set_fleet_size (struct iv_membership *membership, guint cells, guint workers)
 {
--- a/daemon/membership.h
+++ b/daemon/membership.h
@@ -48,6 +48,10 @@
  *  hosts replace a member whose joins stop for longer than its time to live. */
 gint64 iv_membership_unconfirmed_ms (const struct iv_membership *membership);
 
+/** Time in ms, including time suspended, since this host became a member: since then no other host
+ *  can have found it missing. 0 while it is not a member. */
+gint64 iv_membership_member_ms (const struct iv_membership *membership);
+
 /** Set the size of the fleet: @a cells with @a workers each. A small host that can manage such a
  *  cell joins while there are fewer members than cells; a smaller one only while there are none. */
 void iv_membership_set_fleet_size (struct iv_membership *membership, guint cells, guint workers);
