Give up ownership when the roster is refused for its term

An owner whose roster the store refused, as a newer owner had claimed the cell, sent it again at every step until it read the claim, though the refusal proves that it is replaced. It ends its ownership now, as after a refused progress record. Found by review; no test of its own, fleet_app and streams pass.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -325,7 +325,12 @@
 {
   struct roster_record *record = context;
   if (record->task->owner && record->task->term == record->term)
-    iv_owner_roster_stored (record->task->owner, status == IV_OK);
+    {
+      if (status == IV_ERR_STALE)
+        iv_cell_task_end_ownership (record->task, "fenced_in_stream");
+      else
+        iv_owner_roster_stored (record->task->owner, status == IV_OK);
+    }
   g_free (record);
 }
 
