Take the handover of the owner that a claim really replaces

Of two claims in turn, the later one took the handover of the owner before both, and waited only for the workers that it names; starts of the host in between were ignored. The replaced term is now the newest that is read before the own claim. Found by review, very rare; no test of its own, fleet_app passes.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -149,6 +149,9 @@
   gint64 term = g_ascii_strtoll (text, &member, 10);
   if (term > task->current_term && *member == ' ')
     {
+      /* Stored between our read of the claims and our own claim. */
+      if (task->claiming && term < task->claim_term)
+        task->replaced_term = term;
       task->current_term = term;
       task->vacant_since_ms = 0;
       g_free (task->current_owner);
