Test starts on a worker whose capacity shrinks

Cause: no test changed the capacity of a worker that runs tasks. Change: the simulated workers refuse starts beyond their capacity or count them, take time to end stopped runs, and can be listed again; a table of shrinks and growths, starts on their way, stops in progress, a listed new instance.

--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -185,6 +185,34 @@
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, end_clock_ms);
 }
 
+static const ivj_step *
+step_of (const struct sim *sim, const struct iv_task_name *name)
+{
+  return &iv_job_table_find (sim->job_table, name->job)->spec.steps.steps_val[name->step];
+}
+
+static void
+add_step (struct iv_resources *used, const ivj_step *step)
+{
+  used->cpu_milli += step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli;
+  used->mem_mb += step->mem_mb;
+  used->accelerators += step->accelerators;
+}
+
+/* Whether the runs of @a worker, those that are being stopped among them, and one more of @a name
+   exceed its capacity. */
+static gboolean
+exceeds_capacity (const struct sim *sim, const struct sim_worker *worker,
+                  const struct iv_task_name *name)
+{
+  struct iv_resources used = { 0 };
+  for (guint i = 0; i < worker->runs->len; i++)
+    add_step (&used, step_of (sim, &g_array_index (worker->runs, struct sim_run, i).name));
+  add_step (&used, step_of (sim, name));
+  return used.cpu_milli > worker->capacity_milli || used.mem_mb > worker->mem_mb
+         || used.accelerators > worker->accelerators;
+}
+
 static enum iv_command_outcome
 handle_start (struct sim *sim, struct sim_worker *worker, const struct sim_call *call)
 {
@@ -204,6 +232,15 @@
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_same_task (&g_array_index (worker->runs, struct sim_run, i).name, &call->name))
       return IV_COMMAND_OK;
+  if (exceeds_capacity (sim, worker, &call->name))
+    {
+      if (worker->checks_capacity)
+        {
+          sim->refused_starts++;
+          return IV_COMMAND_NO_CAPACITY;
+        }
+      sim->over_capacity++;
+    }
   g_array_append_val (worker->runs, run);
   return IV_COMMAND_OK;
 }
@@ -214,10 +251,13 @@
   struct iv_listed_end stopped = { .name = call->name, .number = call->number };
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
       if (is_same_task (&run->name, &call->name) && run->number == call->number)
         {
-          end_run (worker, i, IV_END_STOPPED);
+          if (worker->stop_grace_ms == 0)
+            end_run (worker, i, IV_END_STOPPED);
+          else if (run->stop_clock_ms == 0)
+            run->stop_clock_ms = worker->clock + worker->stop_grace_ms;
           return IV_COMMAND_OK;
         }
     }
@@ -380,6 +420,17 @@
     }
 }
 
+static void
+end_stopped_runs (struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; i-- > 0;)
+    {
+      gint64 stop_clock_ms = g_array_index (worker->runs, struct sim_run, i).stop_clock_ms;
+      if (stop_clock_ms > 0 && worker->clock >= stop_clock_ms)
+        end_run (worker, i, IV_END_STOPPED);
+    }
+}
+
 static void
 advance_workers (struct sim *sim)
 {
@@ -389,6 +440,7 @@
       worker->clock_rest += TICK_MS * (100 - worker->clock_slow_percent);
       worker->clock += worker->clock_rest / 100;
       worker->clock_rest %= 100;
+      end_stopped_runs (worker);
       for (guint j = 0; !sim->stalled && j < worker->runs->len; j++)
         g_array_index (worker->runs, struct sim_run, j).percent = worker->clock / 200 % 100;
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
@@ -486,6 +538,7 @@
       worker->clock = 5000 + 777 * i;
       worker->start_time_ms = 1;
       worker->capacity_milli = 4000;
+      worker->mem_mb = 100000;
       worker->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
       worker->ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
       worker->stopped = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
@@ -513,25 +566,30 @@
   g_free (sim);
 }
 
+void
+sim_list_worker (struct sim *sim, guint i)
+{
+  const struct sim_worker *worker = &sim->workers[i];
+  char *labels[] = { "kind", (char *)worker->rack, NULL };
+  struct iv_listed_worker listed
+      = { .id = worker->id,
+          .service = "service",
+          .address = "127.0.0.1:1",
+          .domain = worker->domain,
+          .rack = worker->rack,
+          .labels = labels,
+          .capacity = { worker->capacity_milli, worker->mem_mb, worker->accelerators },
+          .draining = worker->draining,
+          .start_time_ms = worker->start_time_ms };
+  iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
+}
+
 void
 sim_list_workers (struct sim *sim)
 {
   for (guint i = 0; i < sim->count; i++)
-    {
-      const struct sim_worker *worker = &sim->workers[i];
-      char *labels[] = { "kind", (char *)worker->rack, NULL };
-      struct iv_listed_worker listed = { .id = worker->id,
-                                         .service = "service",
-                                         .address = "127.0.0.1:1",
-                                         .domain = worker->domain,
-                                         .rack = worker->rack,
-                                         .labels = labels,
-                                         .capacity = { worker->capacity_milli, 100000, 0 },
-                                         .draining = worker->draining,
-                                         .start_time_ms = worker->start_time_ms };
-      if (!worker->unlisted)
-        iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
-    }
+    if (!sim->workers[i].unlisted)
+      sim_list_worker (sim, i);
   iv_owner_worker_list_loaded (sim->owner);
 }
 
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -21,6 +21,7 @@
   gint64 percent;          /**< progress */
   gint64 tail_ms;          /**< tail latency that the worker reports for it */
   guint cpu_limit_percent; /**< CPU limit, percent of full speed */
+  gint64 stop_clock_ms;    /**< being stopped: ends then, on the worker's clock; 0: it is not */
 };
 
 /** A simulated worker. */
@@ -36,10 +37,14 @@
   gint64 fence;              /**< highest term seen; calls with a lower one are refused */
   gint64 lease_end_clock_ms; /**< end of the lease of its runs, on its clock */
   gint64 capacity_milli;
-  gboolean unreachable;    /**< no call reaches it */
-  gboolean drops_replies;  /**< calls reach it, their replies are lost */
-  gboolean resets_calls;   /**< connections are reset: calls fail at once */
-  gboolean refuses_starts; /**< starts are refused for lack of capacity */
+  gint64 mem_mb;
+  gint64 accelerators;
+  gboolean checks_capacity; /**< starts beyond its capacity are refused, not carried out */
+  gint64 stop_grace_ms;     /**< a run that is stopped ends this much later */
+  gboolean unreachable;     /**< no call reaches it */
+  gboolean drops_replies;   /**< calls reach it, their replies are lost */
+  gboolean resets_calls;    /**< connections are reset: calls fail at once */
+  gboolean refuses_starts;  /**< starts are refused for lack of capacity */
   gboolean draining;
   gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
   gint64 start_delay_ms; /**< starts are carried out this much later */
@@ -86,6 +91,8 @@
   guint attempts;   /**< failed runs of a task that end its job */
   GPtrArray *calls; /**< of struct sim_call */
   guint start_calls;
+  guint over_capacity;  /**< starts that brought a worker over its capacity */
+  guint refused_starts; /**< starts that a worker refused for lack of capacity */
   guint throttle_calls;
   guint last_cpu_limit_percent; /**< limit in the last of these */
   struct iv_owner_limits limits;
@@ -101,6 +108,8 @@
 
 /** Report the entries of all listed workers to the owner. */
 void sim_list_workers (struct sim *sim);
+/** The owner reads the present entry of a worker. */
+void sim_list_worker (struct sim *sim, guint worker);
 
 /** Advance the simulated time by @a ms in small steps. */
 void sim_advance (struct sim *sim, gint64 ms);
--- /dev/null
+++ b/jobs/tests/capacity_test.c
@@ -0,0 +1,165 @@
+#include "bench_job.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Long enough for starts, ends and their records to take effect; leases last longer. */
+#define SETTLE_MS 400
+
+/* A job of @a count tasks of one core, 100 MiB and an accelerator each. */
+static void
+submit (struct sim *sim, const char *id, guint count, u_int flags)
+{
+  sim_make_job (count, 0);
+  sim_steps[0].cpu_milli = 1000;
+  sim_steps[0].mem_mb = 100;
+  sim_steps[0].accelerators = 1;
+  sim_steps[0].flags = flags;
+  sim_submit (sim, id, &sim_spec);
+}
+
+/* A cell of @a workers workers with 4 cores, 400 MiB and 4 accelerators each. */
+static struct sim *
+start_cell (guint workers)
+{
+  struct sim *sim = sim_new (workers);
+  for (guint i = 0; i < workers; i++)
+    {
+      sim->workers[i].mem_mb = 400;
+      sim->workers[i].accelerators = 4;
+    }
+  sim_start_owner (sim);
+  sim_advance (sim, SETTLE_MS);
+  return sim;
+}
+
+static void
+set_capacity (struct sim *sim, guint i, struct iv_resources capacity)
+{
+  sim->workers[i].capacity_milli = capacity.cpu_milli;
+  sim->workers[i].mem_mb = capacity.mem_mb;
+  sim->workers[i].accelerators = capacity.accelerators;
+}
+
+/* Four tasks fill a worker, which shrinks and then loses one of them: tasks start again only where
+   they fit, and once the capacity has grown. */
+static void
+test_shrunk_capacity_limits_starts (void **state)
+{
+  static const struct
+  {
+    const char *what;
+    struct iv_resources shrunk;
+    u_int flags;
+    guint ended;           /* tasks of the first job that end */
+    guint started_shrunk;  /* tasks of the second job that start on the shrunk worker... */
+    guint started_regrown; /* ...and once it has grown again */
+  } rows[] = {
+    { "not at all", { 4000, 400, 4 }, 0, 1, 1, 1 },
+    { "cores", { 2000, 400, 4 }, 0, 1, 0, 1 },
+    { "cores, to what runs", { 3000, 400, 4 }, 0, 1, 0, 1 },
+    { "cores, one is left", { 3000, 400, 4 }, 0, 2, 1, 2 },
+    { "memory", { 4000, 200, 4 }, 0, 1, 0, 1 },
+    { "accelerators", { 4000, 400, 2 }, 0, 1, 0, 1 },
+    { "to nothing", { 0, 0, 0 }, 0, 4, 0, 4 },
+    { "best-effort, cores", { 2000, 400, 4 }, IVJ_BEST_EFFORT, 1, 0, 1 },
+    { "best-effort, memory", { 4000, 200, 4 }, IVJ_BEST_EFFORT, 2, 0, 2 },
+    { "best-effort, accelerators", { 4000, 400, 2 }, IVJ_BEST_EFFORT, 2, 0, 2 },
+    { "best-effort, to nothing", { 0, 0, 0 }, IVJ_BEST_EFFORT, 4, 0, 4 },
+    { "long-running", { 2000, 400, 4 }, IVJ_LONG_RUNNING, 1, 0, 1 },
+    { "gang of four", { 3000, 400, 4 }, IVJ_GANG, 4, 0, 4 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = start_cell (1);
+      print_message ("%s\n", rows[i].what);
+      submit (sim, JOB_ID, 4, 0);
+      sim_advance (sim, SETTLE_MS);
+      assert_int_equal (sim_total_runs (sim), 4);
+      set_capacity (sim, 0, rows[i].shrunk);
+      sim_list_worker (sim, 0);
+      submit (sim, OTHER_JOB_ID, 4, rows[i].flags);
+      for (guint j = 0; j < rows[i].ended; j++)
+        assert_true (sim_end_run (sim, JOB_ID, 0, j, IV_END_DONE));
+      sim_advance (sim, 2 * SETTLE_MS);
+      assert_int_equal (sim_total_runs (sim), 4 - rows[i].ended + rows[i].started_shrunk);
+      assert_int_equal (sim->over_capacity, 0);
+      set_capacity (sim, 0, (struct iv_resources){ 4000, 400, 4 });
+      sim_list_worker (sim, 0);
+      sim_advance (sim, 2 * SETTLE_MS);
+      assert_int_equal (sim_total_runs (sim), 4 - rows[i].ended + rows[i].started_regrown);
+      assert_int_equal (sim->over_capacity, 0);
+      sim_free (sim);
+    }
+}
+
+/* A start that is on its way when the entry of a worker that has shrunk is read still counts. */
+static void
+test_starts_on_their_way_count (void **state)
+{
+  struct sim *sim = start_cell (1);
+  sim->workers[0].start_delay_ms = 300;
+  submit (sim, JOB_ID, 2, 0);
+  sim_advance (sim, 100);
+  assert_int_equal (sim_total_runs (sim), 0);
+  set_capacity (sim, 0, (struct iv_resources){ 2000, 400, 4 });
+  sim_list_worker (sim, 0);
+  submit (sim, OTHER_JOB_ID, 1, 0);
+  sim_advance (sim, 2 * SETTLE_MS);
+  assert_int_equal (sim_total_runs (sim), 2);
+  assert_int_equal (sim->start_calls, 2);
+  sim_free (sim);
+}
+
+/* What is being stopped uses its worker until its end is listed. */
+static void
+test_stopping_runs_count (void **state)
+{
+  struct sim *sim = start_cell (1);
+  sim->workers[0].stop_grace_ms = 300;
+  submit (sim, JOB_ID, 3, 0);
+  sim_advance (sim, SETTLE_MS);
+  set_capacity (sim, 0, (struct iv_resources){ 2000, 400, 4 });
+  sim_list_worker (sim, 0);
+  iv_job_table_apply (sim->job_table, JOB_ID IV_KEY_CANCEL, (const guint8 *)"", 0);
+  iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, JOB_ID), sim->now_ms);
+  submit (sim, OTHER_JOB_ID, 4, 0);
+  sim_advance (sim, 200);
+  assert_int_equal (sim_total_runs (sim), 3);
+  sim_advance (sim, 2 * SETTLE_MS);
+  assert_int_equal (sim_total_runs (sim), 2);
+  assert_int_equal (sim->over_capacity, 0);
+  sim_free (sim);
+}
+
+/* A new instance with another capacity, whose entry is read first. */
+static void
+test_capacity_of_a_listed_new_instance (void **state)
+{
+  struct sim *sim = start_cell (1);
+  submit (sim, JOB_ID, 4, 0);
+  sim_advance (sim, SETTLE_MS);
+  sim_restart_worker (sim, 0);
+  set_capacity (sim, 0, (struct iv_resources){ 1000, 100, 1 });
+  sim_list_worker (sim, 0);
+  sim_advance (sim, 2 * SETTLE_MS);
+  assert_int_equal (sim_total_runs (sim), 1);
+  assert_int_equal (sim->over_capacity, 0);
+  sim_free (sim);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_shrunk_capacity_limits_starts),
+    cmocka_unit_test (test_starts_on_their_way_count),
+    cmocka_unit_test (test_stopping_runs_count),
+    cmocka_unit_test (test_capacity_of_a_listed_new_instance),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
