Give a restarted worker no tasks before its entry is read

Cause: a poll reply shows the new instance before its entry is read, and the instance kept the capacity and the labels of the previous one. Change: its capacity is zero until its entry is read, about a heartbeat. The simulated worker that restarts writes its entry a heartbeat later, as real ones do; without it test_runs_of_restarted_worker_are_requeued, which is unchanged, waits for an entry that never comes.

--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -458,9 +458,11 @@
     }
   if (reply->start_time_ms > worker->start_time_ms)
     {
+      /* An instance may be of another kind: without capacity, it gets no tasks before its entry is
+         read. */
       struct iv_listed_worker listed
-          = { worker->id,     worker->service,  worker->address,  worker->domain,      worker->rack,
-              worker->labels, worker->capacity, worker->draining, reply->start_time_ms };
+          = { worker->id,     worker->service, worker->address,  worker->domain,      worker->rack,
+              worker->labels, { 0 },           worker->draining, reply->start_time_ms };
       gboolean was_listed = worker->listed;
       gboolean restarted;
       char *address = g_strdup (worker->address);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -6,6 +6,7 @@
 #define CALL_LATENCY_MS 4    /* from a call to its reply */
 #define ADVICE_LATENCY_MS 50 /* from an advice query to its reply */
 #define CALL_TIMEOUT_MS 800
+#define HEARTBEAT_MS 1000 /* from the start of an instance to the reading of its entry */
 
 enum call_kind
 {
@@ -448,6 +449,19 @@
     }
 }
 
+static void
+read_entries (struct sim *sim)
+{
+  for (guint i = 0; i < sim->count; i++)
+    {
+      struct sim_worker *worker = &sim->workers[i];
+      if (worker->next_entry_ms == 0 || sim->now_ms < worker->next_entry_ms)
+        continue;
+      worker->next_entry_ms = 0;
+      sim_list_worker (sim, i);
+    }
+}
+
 static void
 store_progress (struct sim *sim)
 {
@@ -500,6 +514,7 @@
       reply_to_advice_query (sim);
       if (sim->owner)
         {
+          read_entries (sim);
           iv_owner_tick (sim->owner, &authority, sim->now_ms, sim->wall_ms);
           store_progress (sim);
           store_roster (sim);
@@ -661,6 +676,7 @@
       struct sim_call *call = g_ptr_array_index (sim->calls, j);
       call->dropped |= call->worker == i && !call->done;
     }
+  worker->next_entry_ms = sim->now_ms + HEARTBEAT_MS;
 }
 
 void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -47,6 +47,7 @@
   gboolean refuses_starts;  /**< starts are refused for lack of capacity */
   gboolean draining;
   gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
+  gint64 next_entry_ms;  /**< when the owner reads its entry next; 0: not by itself */
   gint64 start_delay_ms; /**< starts are carried out this much later */
   gint64 stop_delay_ms;  /**< the same for stops */
   GArray *runs;          /**< of struct sim_run */
@@ -136,7 +137,8 @@
 /** State of a job as recorded. */
 enum ivj_state sim_job_state (const struct sim *sim, const char *id);
 
-/** Restart a worker: a new instance without runs, ends, fence and lease. */
+/** Restart a worker: a new instance without runs, ends, fence and lease. The owner reads its entry
+ *  a heartbeat later. */
 void sim_restart_worker (struct sim *sim, guint worker);
 
 #endif
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -152,6 +152,26 @@
   sim_free (sim);
 }
 
+/* The poll reply of a new instance arrives before its entry. Its capacity and labels are unknown
+   until then, as an instance may be of another kind. */
+static void
+test_capacity_of_a_polled_new_instance (void **state)
+{
+  struct sim *sim = start_cell (1);
+  submit (sim, JOB_ID, 4, 0);
+  sim_advance (sim, SETTLE_MS);
+  sim_restart_worker (sim, 0);
+  set_capacity (sim, 0, (struct iv_resources){ 1000, 100, 1 });
+  sim_advance (sim, 2 * SETTLE_MS);
+  assert_int_equal (sim->over_capacity, 0);
+  assert_int_equal (sim_total_runs (sim), 0);
+  sim_list_worker (sim, 0);
+  sim_advance (sim, SETTLE_MS);
+  assert_int_equal (sim_total_runs (sim), 1);
+  assert_int_equal (sim->over_capacity, 0);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -160,6 +180,7 @@
     cmocka_unit_test (test_starts_on_their_way_count),
     cmocka_unit_test (test_stopping_runs_count),
     cmocka_unit_test (test_capacity_of_a_listed_new_instance),
+    cmocka_unit_test (test_capacity_of_a_polled_new_instance),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
