Count runs that a new owner stops because no job wants them

What callers saw: after a change of owner, tasks started on a worker on which runs of a cancelled job were still being stopped: 8 runs on a worker for 4 in the test. Cause: such a run is adopted without a step, and counted nothing. Change: a worker with a run of unknown size has no capacity until the end of the run is listed, StopGraceMs and a poll after its stop.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -132,7 +132,10 @@
   struct iv_fleet_worker *worker = run->worker;
   const ivj_step *step = run->step;
   if (step == NULL)
-    return;
+    {
+      worker->unsized_runs = (guint)((gint64)worker->unsized_runs + sign);
+      return;
+    }
   worker->used.mem_mb += sign * step->mem_mb;
   worker->used.accelerators += sign * step->accelerators;
   if (step->flags & IVJ_BEST_EFFORT)
@@ -205,7 +208,7 @@
 iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
   gint64 cpu = step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli;
-  return worker->used.cpu_milli + cpu <= worker->capacity.cpu_milli
+  return worker->unsized_runs == 0 && worker->used.cpu_milli + cpu <= worker->capacity.cpu_milli
          && worker->used.mem_mb + step->mem_mb <= worker->capacity.mem_mb
          && worker->used.accelerators + step->accelerators <= worker->capacity.accelerators;
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -98,6 +98,7 @@
   struct iv_resources capacity;
   struct iv_resources used;     /**< by its runs; without the cores of best-effort tasks */
   gint64 best_effort_cpu_milli; /**< cores declared by best-effort tasks */
+  guint unsized_runs;           /**< number of runs without a step: what they use is unknown */
   guint latency_tasks;      /**< number of latency-critical tasks: those with a latency target */
   gint64 latency_cpu_milli; /**< cores declared by latency-critical tasks */
   guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
@@ -161,8 +162,8 @@
 /** Remove and free a worker that is gone and has no runs. */
 void iv_fleet_remove (struct iv_fleet *fleet, struct iv_fleet_worker *worker);
 
-/** Add a run of @a step to @a worker and reserve its resources. @a step may be NULL: nothing is
- *  reserved. */
+/** Add a run of @a step to @a worker and reserve its resources. @a step may be NULL: the
+ *  worker then has no capacity for others until the run is removed. */
 struct iv_run *iv_run_add (struct iv_fleet_worker *worker, const struct iv_task_name *name,
                            const ivj_step *step, gint64 number, gint64 now_ms);
 
@@ -180,7 +181,8 @@
 gint64 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms);
 
 /** Whether a task of @a step fits into the free resources of @a worker. A best-effort task needs
- *  free memory and accelerators, but no free cores. */
+ *  free memory and accelerators, but no free cores. FALSE while a run of unknown size is left,
+ * which is being stopped. */
 gboolean iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step);
 
 #endif
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -186,30 +186,28 @@
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, end_clock_ms);
 }
 
-static const ivj_step *
-step_of (const struct sim *sim, const struct iv_task_name *name)
+static struct iv_resources
+resources_of (const struct sim *sim, const struct iv_task_name *name)
 {
-  return &iv_job_table_find (sim->job_table, name->job)->spec.steps.steps_val[name->step];
+  const struct iv_job_entry *job = iv_job_table_find (sim->job_table, name->job);
+  const ivj_step *step = &job->spec.steps.steps_val[name->step];
+  return (struct iv_resources){ step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli, step->mem_mb,
+                                step->accelerators };
 }
 
-static void
-add_step (struct iv_resources *used, const ivj_step *step)
-{
-  used->cpu_milli += step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli;
-  used->mem_mb += step->mem_mb;
-  used->accelerators += step->accelerators;
-}
-
-/* Whether the runs of @a worker, those that are being stopped among them, and one more of @a name
-   exceed its capacity. */
+/* Whether the runs of @a worker, those that are being stopped among them, and @a run exceed its
+   capacity. */
 static gboolean
-exceeds_capacity (const struct sim *sim, const struct sim_worker *worker,
-                  const struct iv_task_name *name)
+exceeds_capacity (const struct sim_worker *worker, const struct sim_run *run)
 {
-  struct iv_resources used = { 0 };
+  struct iv_resources used = run->resources;
   for (guint i = 0; i < worker->runs->len; i++)
-    add_step (&used, step_of (sim, &g_array_index (worker->runs, struct sim_run, i).name));
-  add_step (&used, step_of (sim, name));
+    {
+      const struct sim_run *other = &g_array_index (worker->runs, struct sim_run, i);
+      used.cpu_milli += other->resources.cpu_milli;
+      used.mem_mb += other->resources.mem_mb;
+      used.accelerators += other->resources.accelerators;
+    }
   return used.cpu_milli > worker->capacity_milli || used.mem_mb > worker->mem_mb
          || used.accelerators > worker->accelerators;
 }
@@ -233,7 +231,8 @@
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_same_task (&g_array_index (worker->runs, struct sim_run, i).name, &call->name))
       return IV_COMMAND_OK;
-  if (exceeds_capacity (sim, worker, &call->name))
+  run.resources = resources_of (sim, &call->name);
+  if (exceeds_capacity (worker, &run))
     {
       if (worker->checks_capacity)
         {
@@ -689,6 +688,12 @@
     iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, id), sim->now_ms);
 }
 
+void
+sim_forget_job (struct sim *sim, const char *id)
+{
+  iv_job_table_remove (sim->job_table, id);
+}
+
 gboolean
 sim_end_run (struct sim *sim, const char *id, guint step, guint index, enum iv_end_reason reason)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -18,10 +18,11 @@
 {
   struct iv_task_name name;
   gint64 number;
-  gint64 percent;          /**< progress */
-  gint64 tail_ms;          /**< tail latency that the worker reports for it */
-  guint cpu_limit_percent; /**< CPU limit, percent of full speed */
-  gint64 stop_clock_ms;    /**< being stopped: ends then, on the worker's clock; 0: it is not */
+  struct iv_resources resources; /**< that it uses */
+  gint64 percent;                /**< progress */
+  gint64 tail_ms;                /**< tail latency that the worker reports for it */
+  guint cpu_limit_percent;       /**< CPU limit, percent of full speed */
+  gint64 stop_clock_ms; /**< being stopped: ends then, on the worker's clock; 0: it is not */
 };
 
 /** A simulated worker. */
@@ -118,6 +119,9 @@
 /** Submit a job with @a spec as @a id; @a spec stays owned by the caller. */
 void sim_submit (struct sim *sim, const char *id, const ivj_job *spec);
 
+/** The record of the job @a id expired: it leaves the job table. */
+void sim_forget_job (struct sim *sim, const char *id);
+
 /** End the run of task @a index in step @a step of job @a id. FALSE when no worker runs it. */
 gboolean sim_end_run (struct sim *sim, const char *id, guint step, guint index,
                       enum iv_end_reason reason);
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -172,6 +172,35 @@
   sim_free (sim);
 }
 
+/* The next owner finds runs that no job wants. They use the worker until their ends are listed,
+   also when their job is not known any more. */
+static void
+test_unwanted_runs_count (void **state)
+{
+  static const gboolean job_known[] = { TRUE, FALSE };
+  for (guint i = 0; i < G_N_ELEMENTS (job_known); i++)
+    {
+      struct sim *sim = start_cell (1);
+      sim->workers[0].stop_grace_ms = 300;
+      submit (sim, JOB_ID, 4, 0);
+      sim_advance (sim, SETTLE_MS);
+      iv_owner_free (sim->owner);
+      sim->owner = NULL;
+      iv_job_table_apply (sim->job_table, JOB_ID IV_KEY_CANCEL, (const guint8 *)"", 0);
+      if (!job_known[i])
+        sim_forget_job (sim, JOB_ID);
+      submit (sim, OTHER_JOB_ID, 4, 0);
+      sim_start_owner (sim);
+      sim_advance (sim, 200);
+      assert_int_equal (sim_total_runs (sim), 4);
+      sim_advance (sim, 3 * SETTLE_MS);
+      assert_int_equal (sim->over_capacity, 0);
+      assert_int_equal (sim_running_count (sim, OTHER_JOB_ID, 0, 0), 1);
+      assert_int_equal (sim_total_runs (sim), 4);
+      sim_free (sim);
+    }
+}
+
 int
 main (void)
 {
@@ -181,6 +210,7 @@
     cmocka_unit_test (test_stopping_runs_count),
     cmocka_unit_test (test_capacity_of_a_listed_new_instance),
     cmocka_unit_test (test_capacity_of_a_polled_new_instance),
+    cmocka_unit_test (test_unwanted_runs_count),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
