Count no negative free capacity

What callers saw: beside a worker over its shrunk capacity, a rack-local step is spread over two racks though one worker holds all of it (2 of 4 tasks in the test), where its tasks take FarFactor times as long; a cell publishes less free capacity than it has, so jobs that wait elsewhere do not move to it. Cause: the free cores of a rack and of a cell added the difference between capacity and use of each worker, which is negative since capacity can shrink. Change: a worker has at least no free cores. The capacity for long-running jobs still counts the shrunk capacity; it may be negative by its definition.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -194,7 +194,7 @@
           sum = g_new0 (gint64, 1);
           g_hash_table_insert (free_cpu, worker->rack, sum);
         }
-      *sum += worker->capacity.cpu_milli - worker->used.cpu_milli;
+      *sum += iv_worker_free_milli (worker);
     }
   g_hash_table_iter_init (&iter, free_cpu);
   while (g_hash_table_iter_next (&iter, &key, &value))
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -204,6 +204,12 @@
   return worker->sample_clock_ms + elapsed_ms - elapsed_ms * CLOCK_SLOW_PERCENT / 100;
 }
 
+gint64
+iv_worker_free_milli (const struct iv_fleet_worker *worker)
+{
+  return MAX (0, worker->capacity.cpu_milli - worker->used.cpu_milli);
+}
+
 gboolean
 iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -180,6 +180,10 @@
 /** Lower bound of the worker's clock at @a now_ms, for the slowest clock permitted. */
 gint64 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms);
 
+/** Free cores of @a worker, in thousandths. Not negative: a worker whose capacity has shrunk below
+ *  what runs there takes nothing from others. */
+gint64 iv_worker_free_milli (const struct iv_fleet_worker *worker);
+
 /** Whether a task of @a step fits into the free resources of @a worker. A best-effort task needs
  *  free memory and accelerators, but no free cores. FALSE while a run of unknown size is left,
  * which is being stopped. */
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -94,7 +94,7 @@
       if (!is_usable (owner, worker))
         continue;
       total_milli += worker->capacity.cpu_milli;
-      capacity->free_milli += worker->capacity.cpu_milli - worker->used.cpu_milli;
+      capacity->free_milli += iv_worker_free_milli (worker);
       capacity->best_effort_milli += MAX (0, iv_sharing_spare_milli (worker));
     }
   /* A long-running job stays in its cell once it has started. */
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -201,6 +201,72 @@
     }
 }
 
+/* A worker that is over its capacity does not hide the free cores of the others in its rack: a
+   rack-local step is not spread over racks, where its tasks would take several times as long. */
+static void
+test_overfull_worker_hides_no_rack (void **state)
+{
+  static const struct iv_resources none = { 0, 0, 0 };
+  static const struct iv_resources one = { 1000, 100, 1 };
+  struct sim *sim = start_cell (4);
+  guint used;
+  for (guint i = 2; i < 4; i++)
+    {
+      set_capacity (sim, i, none);
+      sim_list_worker (sim, i);
+    }
+  submit (sim, JOB_ID, 4, 0);
+  sim_advance (sim, SETTLE_MS);
+  used = sim->workers[0].runs->len > 0 ? 0 : 1;
+  assert_int_equal (sim->workers[used].runs->len, 4);
+  set_capacity (sim, used, none);
+  sim_list_worker (sim, used);
+  for (guint i = 2; i < 4; i++)
+    {
+      set_capacity (sim, i, one);
+      sim_list_worker (sim, i);
+    }
+  submit (sim, OTHER_JOB_ID, 4, IVJ_RACK_LOCAL);
+  sim_advance (sim, SETTLE_MS);
+  assert_int_equal (sim->workers[1 - used].runs->len, 4);
+  assert_int_equal (sim->over_capacity, 0);
+  sim_free (sim);
+}
+
+/* The cell has as much free capacity as its workers have, however far one of them has shrunk. */
+static void
+test_free_capacity_beside_an_overfull_worker (void **state)
+{
+  static const struct
+  {
+    gint64 capacity_milli; /* of the worker on which 4 cores are used */
+    gint64 free_milli;     /* of the cell; its other worker has 4 cores */
+    gint64 long_running_milli;
+  } rows[] = {
+    { 6000, 6000, 10000 },
+    { 4000, 4000, 8000 },
+    { 3000, 4000, 7000 },
+    { 0, 4000, 4000 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = start_cell (2);
+      struct iv_cell_capacity capacity;
+      guint used;
+      submit (sim, JOB_ID, 4, 0);
+      sim_advance (sim, SETTLE_MS);
+      used = sim->workers[0].runs->len > 0 ? 0 : 1;
+      set_capacity (sim, used, (struct iv_resources){ rows[i].capacity_milli, 400, 4 });
+      sim_list_worker (sim, used);
+      assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+      assert_int_equal (capacity.free_milli, rows[i].free_milli);
+      assert_int_equal (capacity.best_effort_milli, rows[i].free_milli);
+      /* Less the reserve for the batch job: a tenth of the capacity. */
+      assert_int_equal (capacity.long_running_milli, rows[i].long_running_milli * 9 / 10);
+      sim_free (sim);
+    }
+}
+
 int
 main (void)
 {
@@ -211,6 +277,8 @@
     cmocka_unit_test (test_capacity_of_a_listed_new_instance),
     cmocka_unit_test (test_capacity_of_a_polled_new_instance),
     cmocka_unit_test (test_unwanted_runs_count),
+    cmocka_unit_test (test_overfull_worker_hides_no_rack),
+    cmocka_unit_test (test_free_capacity_beside_an_overfull_worker),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
