Ignore entries of a worker that are older than the known one

What callers saw: three starts over the shrunk capacity of a worker in the test, after an older entry of it. Cause: entries were applied in the order read; only an older instance was told. Change: an entry carries the worker's clock when it was written; one that is older than the known entry of the same instance changes nothing.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -60,6 +60,7 @@
   worker->polling = FALSE;
   worker->start_time_ms = start_time_ms;
   worker->roster_state = IV_ROSTER_ABSENT; /* its address may have changed */
+  worker->entry_clock_ms = 0;
   worker->fenced = FALSE;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
@@ -95,6 +96,10 @@
       *restarted = TRUE;
       reset_instance (fleet, worker, listed->start_time_ms);
     }
+  /* History that is read again, or a write that the store carried out late. */
+  else if (listed->clock_ms > 0 && listed->clock_ms < worker->entry_clock_ms)
+    return worker;
+  worker->entry_clock_ms = listed->clock_ms;
   replace_string (&worker->service, listed->service);
   replace_string (&worker->address, listed->address);
   replace_string (&worker->domain, listed->domain);
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -33,6 +33,7 @@
   gboolean draining;
   /** Wall clock; distinguishes the instances of a worker, which share its id. */
   gint64 start_time_ms;
+  gint64 clock_ms; /**< when the worker wrote the entry, on its clock; 0: unknown */
 };
 
 /** How much the owner knows about a run. */
@@ -96,6 +97,7 @@
   char *rack;
   char **labels;
   struct iv_resources capacity;
+  gint64 entry_clock_ms;        /**< when its entry was written, on its clock; 0: unknown */
   struct iv_resources used;     /**< by its runs; without the cores of best-effort tasks */
   gint64 best_effort_cpu_milli; /**< cores declared by best-effort tasks */
   guint unsized_runs;           /**< number of runs without a step: what they use is unknown */
@@ -148,8 +150,9 @@
 struct iv_fleet *iv_fleet_new (void);
 void iv_fleet_free (struct iv_fleet *fleet);
 
-/** Add or update a worker; a list entry of an older instance than the known one is ignored.
- *  @a restarted is set when a newer instance replaces the known one: the caller sees to the runs.
+/** Add or update a worker; a list entry older than the known one, or of an older instance, is
+ *  ignored. @a restarted is set when a newer instance replaces the known one: the caller sees to
+ *  the runs.
  */
 struct iv_fleet_worker *iv_fleet_update_worker (struct iv_fleet *fleet,
                                                 const struct iv_listed_worker *listed,
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -594,7 +594,8 @@
           .labels = labels,
           .capacity = { worker->capacity_milli, worker->mem_mb, worker->accelerators },
           .draining = worker->draining,
-          .start_time_ms = worker->start_time_ms };
+          .start_time_ms = worker->start_time_ms,
+          .clock_ms = worker->clock - worker->entry_age_ms };
   iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
 }
 
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -48,6 +48,7 @@
   gboolean refuses_starts;  /**< starts are refused for lack of capacity */
   gboolean draining;
   gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
+  gint64 entry_age_ms;   /**< age of its entry when the owner reads it */
   gint64 next_entry_ms;  /**< when the owner reads its entry next; 0: not by itself */
   gint64 start_delay_ms; /**< starts are carried out this much later */
   gint64 stop_delay_ms;  /**< the same for stops */
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -267,6 +267,25 @@
     }
 }
 
+/* Entries are read in the order of the stream, and a write without a response may be carried out
+   late: an older entry of the same instance changes nothing. */
+static void
+test_older_entry_is_ignored (void **state)
+{
+  struct sim *sim = start_cell (1);
+  set_capacity (sim, 0, (struct iv_resources){ 1000, 100, 1 });
+  sim_list_worker (sim, 0);
+  set_capacity (sim, 0, (struct iv_resources){ 4000, 400, 4 });
+  sim->workers[0].entry_age_ms = 300;
+  sim_list_worker (sim, 0);
+  set_capacity (sim, 0, (struct iv_resources){ 1000, 100, 1 });
+  submit (sim, JOB_ID, 4, 0);
+  sim_advance (sim, SETTLE_MS);
+  assert_int_equal (sim->over_capacity, 0);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -279,6 +298,7 @@
     cmocka_unit_test (test_unwanted_runs_count),
     cmocka_unit_test (test_overfull_worker_hides_no_rack),
     cmocka_unit_test (test_free_capacity_beside_an_overfull_worker),
+    cmocka_unit_test (test_older_entry_is_ignored),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
