Start nothing by an old entry of an unguarded worker

What callers saw: when the entry of a worker is not read any more, starts by its old capacity went on for 5 s of evidence, and after an outage of the store at once, however old the entry. A worker that starts what it is told comes over a capacity that shrank meanwhile (LIMIT allows ContactMs and a heartbeat). Cause: the evidence is the age of the operators' stream; nothing told the age of an entry. The poll reply has no capacity, so only the entry shows it. Where the service has no AdmissionCheck, no start is sent, and none expires, later than contact and heartbeat after the entry was written, less the 2 % by which the clock may be slow. Guarding workers get starts as before: they refuse what does not fit.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -152,6 +152,7 @@
   policy->stretch = route->stretch;
   policy->objective_ms = route->objective_ms;
   policy->advised = route->advised;
+  policy->checks_capacity = route->checks_capacity;
   return TRUE;
 }
 
@@ -484,13 +485,16 @@
 {
   const struct iv_layout *layout = task->deps.layout (task->deps.context);
   const struct iv_fleet_settings *settings = task->deps.settings;
-  struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
-                                    .lease_max_ms = settings->lease_max_ms,
-                                    .start_ms = settings->start_window_ms,
-                                    .horizon_ms = settings->horizon_ms,
-                                    .evidence_max_age_ms = settings->evidence_max_age_ms,
-                                    .harm_ms = settings->harm_ms,
-                                    .spare_rack = iv_layout_cells (layout) > 1 };
+  struct iv_owner_limits limits
+      = { .lease_ms = settings->lease_ms,
+          .lease_max_ms = settings->lease_max_ms,
+          .start_ms = settings->start_window_ms,
+          .horizon_ms = settings->horizon_ms,
+          .evidence_max_age_ms = settings->evidence_max_age_ms,
+          .harm_ms = settings->harm_ms,
+          .capacity_max_age_ms = (settings->contact_ms + settings->heartbeat_ms)
+                                 * (100 - IV_WORKER_CLOCK_SLOW_PERCENT) / 100,
+          .spare_rack = iv_layout_cells (layout) > 1 };
   struct iv_owner_effects effects = { .context = task,
                                       .start = send_start,
                                       .stop = send_stop,
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -54,16 +54,17 @@
 }
 
 static void
-start_task (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_stage *stage,
-            struct iv_job_task *task, const struct iv_task_name *name,
-            struct iv_fleet_worker *worker, gint64 number, gint64 now_ms)
+start_task (struct iv_owner *owner, const struct iv_placement_query *query,
+            struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+            const struct iv_task_name *name, struct iv_fleet_worker *worker, gint64 number)
 {
+  gint64 now_ms = query->now_ms;
   struct iv_run *run = iv_run_add (worker, name, stage->step, number, now_ms);
   struct iv_start_command command = {
     .name = *name, .number = number, .spec = exec->job->spec.spec, .checkpoint = task->checkpoint
   };
   command.ticket = iv_advice_ticket (stage->advice, worker, now_ms);
-  command.deadline_clock_ms = iv_worker_clock (worker, now_ms) + owner->start_window_ms;
+  command.deadline_clock_ms = iv_place_start_deadline (worker, query);
   run->phase = IV_RUN_PHASE_STARTING;
   run->workload = iv_sharing_workload (owner, stage->step);
   iv_sharing_add_run (owner, run, now_ms);
@@ -117,8 +118,8 @@
       if (worker == NULL || (query->starved && exec->placed > 0))
         return;
       name->index = i;
-      start_task (owner, exec, stage, task, name, worker, next_run_number (owner, task->run),
-                  now_ms);
+      start_task (owner, query, exec, stage, task, name, worker,
+                  next_run_number (owner, task->run));
     }
 }
 
@@ -167,8 +168,8 @@
           task->checkpoint = copy;
           checkpoint = copy;
         }
-      start_task (owner, exec, stage, task, name, chosen[i], next_run_number (owner, highest),
-                  now_ms);
+      start_task (owner, query, exec, stage, task, name, chosen[i],
+                  next_run_number (owner, highest));
     }
   g_free (chosen);
 }
@@ -245,6 +246,7 @@
           .service = candidate->policy.service,
           .workload = iv_sharing_workload (owner, stage->step),
           .advised = candidate->policy.advised,
+          .checks_capacity = candidate->policy.checks_capacity,
           .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
           .now_ms = now_ms };
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* The platform's task protocol permits a worker's clock to run slow by this much. */
-#define CLOCK_SLOW_PERCENT 2
-
 static void
 free_worker (gpointer data)
 {
@@ -206,7 +203,7 @@
 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms)
 {
   gint64 elapsed_ms = now_ms - worker->clock_sampled_at_ms;
-  return worker->sample_clock_ms + elapsed_ms - elapsed_ms * CLOCK_SLOW_PERCENT / 100;
+  return worker->sample_clock_ms + elapsed_ms - elapsed_ms * IV_WORKER_CLOCK_SLOW_PERCENT / 100;
 }
 
 gint64
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -10,6 +10,8 @@
 
 #include "job_exec.h"
 
+/** The platform's task protocol permits a worker's clock to run slow by this much. */
+#define IV_WORKER_CLOCK_SLOW_PERCENT 2
 #define IV_FULL_SPEED_PERCENT 100 /**< CPU limit of a run that is not throttled */
 
 /** An amount of compute resources. */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -14,7 +14,6 @@
    age, and the deadline of a start, which is also a lease, must not be further away than a lease.
  */
 #define CLOCK_SAMPLE_MAX_MS 120000
-#define MIN_START_WINDOW_MS 100 /* for a start to arrive: failure domains are ms apart */
 
 /* Interference of a best-effort task per share of the host: none for most pairs of images, up to
    nine times the baseline tail latency for some. */
@@ -451,7 +450,7 @@
      old. */
   owner->start_window_ms
       = MIN (limits->start_ms, limits->evidence_max_age_ms - authority->evidence_age_ms);
-  if (owner->start_window_ms >= MIN_START_WINDOW_MS && owner->workers_loaded)
+  if (owner->start_window_ms >= IV_MIN_START_WINDOW_MS && owner->workers_loaded)
     iv_owner_dispatch (owner, now_ms);
   if (authority->confirmed)
     iv_owner_move_jobs (owner, now_ms);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -78,6 +78,7 @@
   double stretch;      /**< the objective allows this multiple of the longest chain of steps... */
   gint64 objective_ms; /**< ...plus this */
   gboolean advised;    /**< a start needs a ticket of the advice service */
+  gboolean checks_capacity; /**< the workers refuse what exceeds their capacity */
 };
 
 /** Request to start a run. */
@@ -114,6 +115,9 @@
   gint64 evidence_max_age_ms;
   /** Best-effort tasks must not keep a tail latency over its target for longer than this. */
   gint64 harm_ms;
+  /** Where workers start what exceeds their capacity: no start arrives when the entry of the worker
+   *  is older than this. */
+  gint64 capacity_max_age_ms;
   /** Reserve capacity for the loss of a rack: other cells cannot take over long-running jobs. */
   gboolean spare_rack;
 };
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -9,6 +9,9 @@
 #include "interference.h"
 #include "owner.h"
 
+/** A start takes this long to arrive: failure domains are milliseconds apart. */
+#define IV_MIN_START_WINDOW_MS 100
+
 /** A worker that an advice query names. */
 struct iv_advice_candidate
 {
@@ -151,9 +154,10 @@
   const struct iv_stage *stage;
   guint occurrence;
   const char *service;
-  const char *rack; /**< the only rack allowed; NULL: any */
-  guint32 workload; /**< image of the stage in the interference model */
-  gboolean advised; /**< only workers with a ticket */
+  const char *rack;         /**< the only rack allowed; NULL: any */
+  guint32 workload;         /**< image of the stage in the interference model */
+  gboolean advised;         /**< only workers with a ticket */
+  gboolean checks_capacity; /**< see struct iv_queue_policy */
   gboolean starved; /**< the job has had no run for a while: accept the least interference */
   gint64 now_ms;
 };
@@ -162,6 +166,10 @@
 struct iv_fleet_worker *iv_place_task (const struct iv_placement_query *query,
                                        const struct iv_job_task *task);
 
+/** When a start that is sent to @a worker now expires, on the clock of the worker. */
+gint64 iv_place_start_deadline (const struct iv_fleet_worker *worker,
+                                const struct iv_placement_query *query);
+
 /** Whether @a worker meets every constraint on the stage but the ticket. */
 gboolean iv_place_is_feasible (const struct iv_fleet_worker *worker,
                                const struct iv_placement_query *query);
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -34,6 +34,24 @@
   return count;
 }
 
+/* Until when the capacity in the entry of @a worker holds, on its clock. */
+static gint64
+capacity_valid_until (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  if (query->checks_capacity || worker->entry_clock_ms == 0)
+    return G_MAXINT64;
+  return worker->entry_clock_ms + query->owner->limits.capacity_max_age_ms;
+}
+
+gint64
+iv_place_start_deadline (const struct iv_fleet_worker *worker,
+                         const struct iv_placement_query *query)
+{
+  gint64 expires = iv_worker_clock (worker, query->now_ms) + query->owner->start_window_ms;
+  gint64 valid_until = capacity_valid_until (worker, query);
+  return MIN (expires, valid_until);
+}
+
 gboolean
 iv_place_is_feasible (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
 {
@@ -42,6 +60,8 @@
   return worker->listed && worker->fenced && worker->recorded && !worker->draining
          && worker->failures == 0 && worker->quarantined_until_ms <= query->now_ms
          && strcmp (worker->service, query->service) == 0 && iv_worker_has_capacity (worker, step)
+         && iv_worker_clock (worker, query->now_ms) + IV_MIN_START_WINDOW_MS
+                <= capacity_valid_until (worker, query)
          && has_label (worker, step->label)
          && (query->rack == NULL || strcmp (query->rack, worker->rack) == 0)
          && owner->effects.is_domain_in_service (owner->effects.context, worker->domain)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -139,7 +139,8 @@
 on_queue (void *context, const char *host, const char *prefix, struct iv_queue_policy *policy)
 {
   struct sim *sim = context;
-  *policy = (struct iv_queue_policy){ "service", 0, sim->attempts, 2.0, 1000, sim->advised };
+  *policy = (struct iv_queue_policy){ "service",      0, sim->attempts, 2.0, 1000, sim->advised,
+                                      !sim->unguarded };
   return TRUE;
 }
 
@@ -542,7 +543,8 @@
                                           .start_ms = 1500,
                                           .horizon_ms = 8600,
                                           .evidence_max_age_ms = 5000,
-                                          .harm_ms = 4000 };
+                                          .harm_ms = 4000,
+                                          .capacity_max_age_ms = 4000 };
   for (guint i = 0; i < workers; i++)
     {
       struct sim_worker *worker = &sim->workers[i];
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -74,6 +74,7 @@
   gint64 term;
   gint64 now_ms;
   gint64 wall_ms;
+  gboolean unguarded;           /**< the configuration says that workers start what does not fit */
   gint64 evidence_age_ms;       /**< given to the owner with each tick */
   gboolean confirmed;           /**< the owner is told that nobody else can own the cell */
   gint64 authority_ms;          /**< each tick permits the owner to act for this long */
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -267,6 +267,48 @@
     }
 }
 
+/* The entry of a worker is not read any more: the store is away, or the worker cannot reach it. A
+   worker that starts what it is told gets no start that arrives when its capacity may have shrunk
+   long ago; the others refuse what does not fit. */
+static void
+test_old_entries_permit_no_start (void **state)
+{
+  static const struct
+  {
+    gboolean unguarded;
+    gint64 entry_age_ms; /* when the owner reads it */
+    gint64 wait_ms;      /* until a job is submitted, beyond SETTLE_MS */
+    gint64 start_delay_ms;
+    guint runs; /* after a second and a half */
+  } rows[] = {
+    { TRUE, 0, 0, 0, 4 },      { TRUE, 0, 3000, 0, 4 },    { TRUE, 0, 3600, 0, 0 },
+    { TRUE, 2500, 0, 0, 4 },   { TRUE, 2500, 1500, 0, 0 }, { TRUE, 0, 2000, 800, 4 },
+    { TRUE, 0, 3000, 800, 0 }, { FALSE, 0, 3600, 0, 4 },   { FALSE, 0, 3000, 800, 4 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = sim_new (1);
+      print_message ("row %u\n", i);
+      sim->unguarded = rows[i].unguarded;
+      sim->workers[0].accelerators = 4;
+      sim->workers[0].entry_age_ms = rows[i].entry_age_ms;
+      sim->workers[0].start_delay_ms = rows[i].start_delay_ms;
+      sim_start_owner (sim);
+      sim_advance (sim, SETTLE_MS + rows[i].wait_ms);
+      submit (sim, JOB_ID, 4, 0);
+      sim_advance (sim, 1500);
+      assert_int_equal (sim_total_runs (sim), rows[i].runs);
+      if (rows[i].start_delay_ms == 0)
+        assert_int_equal (sim->start_calls, rows[i].runs);
+      sim->workers[0].entry_age_ms = 0;
+      sim->workers[0].start_delay_ms = 0;
+      sim_list_worker (sim, 0);
+      sim_advance (sim, 2000);
+      assert_int_equal (sim_total_runs (sim), 4);
+      sim_free (sim);
+    }
+}
+
 /* Entries are read in the order of the stream, and a write without a response may be carried out
    late: an older entry of the same instance changes nothing. */
 static void
@@ -298,6 +340,7 @@
     cmocka_unit_test (test_unwanted_runs_count),
     cmocka_unit_test (test_overfull_worker_hides_no_rack),
     cmocka_unit_test (test_free_capacity_beside_an_overfull_worker),
+    cmocka_unit_test (test_old_entries_permit_no_start),
     cmocka_unit_test (test_older_entry_is_ignored),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
