Learn from a refusal what no longer fits

What callers saw: a guarding worker that has shrunk, and whose entry is not read because the store is away, was sent starts that it refuses every 500 ms: 11 refusals in 5 s in the test. Each is billed, and the tasks wait for nothing. Cause: a refusal only quarantined the worker for 500 ms; its capacity stayed. Change: after a refusal the worker has less than the task needs beside what is used there, until its next entry is read. Smaller tasks are still tried, and an end makes room by the lowered capacity.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -206,6 +206,20 @@
   return worker->sample_clock_ms + elapsed_ms - elapsed_ms * IV_WORKER_CLOCK_SLOW_PERCENT / 100;
 }
 
+void
+iv_worker_refused (struct iv_fleet_worker *worker, const ivj_step *step)
+{
+  struct iv_resources *capacity = &worker->capacity;
+  const struct iv_resources *used = &worker->used;
+  if (step->cpu_milli > 0 && !(step->flags & IVJ_BEST_EFFORT))
+    capacity->cpu_milli = MIN (capacity->cpu_milli, used->cpu_milli + step->cpu_milli - 1);
+  if (step->mem_mb > 0)
+    capacity->mem_mb = MIN (capacity->mem_mb, used->mem_mb + step->mem_mb - 1);
+  if (step->accelerators > 0)
+    capacity->accelerators
+        = MIN (capacity->accelerators, used->accelerators + step->accelerators - 1);
+}
+
 gint64
 iv_worker_free_milli (const struct iv_fleet_worker *worker)
 {
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -185,6 +185,11 @@
 /** Lower bound of the worker's clock at @a now_ms, for the slowest clock permitted. */
 gint64 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms);
 
+/** A start of a task of @a step was refused for lack of capacity, and its run removed: @a worker
+ *  has less than the task needs beside the others, until its next entry says more. Which resource
+ *  it lacks is not known, so all are lowered. */
+void iv_worker_refused (struct iv_fleet_worker *worker, const ivj_step *step);
+
 /** Free cores of @a worker, in thousandths. Not negative: a worker whose capacity has shrunk below
  *  what runs there takes nothing from others. */
 gint64 iv_worker_free_milli (const struct iv_fleet_worker *worker);
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -69,6 +69,7 @@
   struct iv_fleet_worker *worker = iv_fleet_worker (owner->fleet, handle);
   struct iv_run *run = worker ? iv_run_find (worker, name, number) : NULL;
   gboolean other_instance;
+  const ivj_step *step;
   if (run == NULL || authority_expired (owner, now_ms))
     return;
   other_instance = iv_owner_is_other_instance (worker, run->sent_ms, clock);
@@ -114,7 +115,10 @@
     worker->quarantined_until_ms
         = now_ms
           + (outcome == IV_COMMAND_NO_CAPACITY ? QUARANTINE_NO_CAPACITY_MS : QUARANTINE_REFUSED_MS);
+  step = run->step;
   iv_run_remove (run);
+  if (outcome == IV_COMMAND_NO_CAPACITY)
+    iv_worker_refused (worker, step);
   iv_owner_requeue_task (owner, name, number, NULL);
 }
 
--- a/jobs/tests/capacity_test.c
+++ b/jobs/tests/capacity_test.c
@@ -328,6 +328,36 @@
   sim_free (sim);
 }
 
+/* A guarding worker shrinks and refuses; its entry is not read for seconds. Refused starts are
+   billed, and are not repeated before the entry is read or a run ends. */
+static void
+test_refusal_shows_the_capacity (void **state)
+{
+  static const struct iv_resources shrunk[]
+      = { { 2000, 400, 4 }, { 4000, 200, 4 }, { 4000, 400, 2 }, { 0, 0, 0 } };
+  for (guint i = 0; i < G_N_ELEMENTS (shrunk); i++)
+    {
+      struct sim *sim = start_cell (1);
+      sim->workers[0].checks_capacity = TRUE;
+      submit (sim, JOB_ID, 2, 0);
+      sim_advance (sim, SETTLE_MS);
+      set_capacity (sim, 0, shrunk[i]);
+      submit (sim, OTHER_JOB_ID, 4, 0);
+      sim_advance (sim, 5000);
+      assert_int_equal (sim_total_runs (sim), 2);
+      assert_int_equal (sim->refused_starts, 2);
+      assert_true (sim_end_run (sim, JOB_ID, 0, 0, IV_END_DONE));
+      sim_advance (sim, 1000);
+      assert_int_equal (sim_total_runs (sim), i < 3 ? 2 : 1);
+      assert_in_range (sim->refused_starts, 2, 3);
+      set_capacity (sim, 0, (struct iv_resources){ 4000, 400, 4 });
+      sim_list_worker (sim, 0);
+      sim_advance (sim, 1000);
+      assert_int_equal (sim_total_runs (sim), 4);
+      sim_free (sim);
+    }
+}
+
 int
 main (void)
 {
@@ -342,6 +372,7 @@
     cmocka_unit_test (test_free_capacity_beside_an_overfull_worker),
     cmocka_unit_test (test_old_entries_permit_no_start),
     cmocka_unit_test (test_older_entry_is_ignored),
+    cmocka_unit_test (test_refusal_shows_the_capacity),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
