Show a job as running once a worker has said so

What callers saw: jobs whose starts never arrived were shown as running and left out of Pending. Cause: the state was set when the first start was sent. A job of which a new owner found a run had its state set by nothing, and was shown as queued. Change: the state is set by a worker's confirmation, or by a run or an end that it lists. exec->started stays at the order: an ordered start may run, so such a job is not moved. A next owner finds an unconfirmed run by polls, or the fence refuses it, as it did when the record of the state was not stored yet.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -78,9 +78,6 @@
   if (!exec->started)
     {
       exec->started = TRUE;
-      exec->job->live_state = IVJ_RUNNING;
-      exec->needs_record = TRUE;
-      iv_owner_queue_record (owner, exec);
       iv_histogram_add (iv_histogram_get ("ibisvane_first_start_ms",
                                           "From reading a job to the first start of a task."),
                         now_ms - exec->first_seen_ms);
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -219,6 +219,15 @@
   return task->failures >= attempts;
 }
 
+void
+iv_job_exec_running (struct iv_job_exec *exec)
+{
+  if (exec->job->live_state != IVJ_QUEUED)
+    return;
+  exec->job->live_state = IVJ_RUNNING;
+  exec->needs_record = TRUE;
+}
+
 void
 iv_job_exec_end (struct iv_job_exec *exec, enum ivj_state state, gint64 wall_ms)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -61,7 +61,7 @@
   GPtrArray *open;          /**< of struct iv_occurrence, by ascending number */
   guint opened;             /**< occurrences opened so far */
   gboolean needs_record;    /**< progress has changed since it was last recorded */
-  gboolean started;         /**< a task of it has started */
+  gboolean started;         /**< a task of it may have started: a start was sent */
   gboolean inherited;       /**< a previous owner may have started tasks of it */
   guint placed;             /**< tasks that run or may run */
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
@@ -100,6 +100,9 @@
 gboolean iv_job_exec_task_failed (struct iv_job_exec *exec, const struct iv_task_name *name,
                                   gint64 run, guint attempts);
 
+/** A run of the job exists or existed, as a worker says: it is no longer queued. */
+void iv_job_exec_running (struct iv_job_exec *exec);
+
 /** Set the final @a state of the job. */
 void iv_job_exec_end (struct iv_job_exec *exec, enum ivj_state state, gint64 wall_ms);
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -62,6 +62,18 @@
   return now_ms > owner->valid_until_ms;
 }
 
+/* Callers are told that a job runs once a worker has said so: a start that was sent may never
+   arrive. */
+static void
+note_running (struct iv_owner *owner, const struct iv_task_name *name)
+{
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
+  if (exec == NULL)
+    return;
+  iv_job_exec_running (exec);
+  iv_owner_queue_record (owner, exec);
+}
+
 void
 iv_owner_start_replied (struct iv_owner *owner, guint32 handle, const struct iv_task_name *name,
                         gint64 number, enum iv_command_outcome outcome, gint64 clock, gint64 now_ms)
@@ -93,6 +105,7 @@
     {
       run->phase = IV_RUN_PHASE_RUNNING;
       run->acked_clock_ms = clock;
+      note_running (owner, name);
       return;
     }
   iv_event (IV_LEVEL_INFO, "run.refused",
@@ -243,6 +256,7 @@
   if (run)
     iv_run_remove (run);
   owner->needs_dispatch = TRUE;
+  note_running (owner, &end->name);
   if (end->reason == IV_END_DONE)
     worker->consecutive_failed_runs = 0;
   else if (end->reason == IV_END_FAILED && was_known)
@@ -297,6 +311,7 @@
   if (instance_known && !run->listed)
     iv_owner_forget_lost_start (run);
   run->listed |= instance_known;
+  note_running (owner, &listed->name);
   run->reported_load = listed->reported_load;
   if (listed->percent != run->percent)
     {
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -38,6 +38,68 @@
   sim_free (sim);
 }
 
+/* A start that was sent may never arrive, or seconds later. A job is running once a worker has
+   confirmed or listed a run, or the end of one; until then it counts as pending. */
+static void
+test_job_is_queued_until_a_run_is_known (void **state)
+{
+  static const struct
+  {
+    gboolean unreachable;
+    gboolean drops_replies;
+    gint64 start_delay_ms;
+  } rows[] = { { TRUE, FALSE, 0 }, { FALSE, TRUE, 0 }, { FALSE, FALSE, 600 } };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = sim_new (1);
+      sim_start_owner (sim);
+      sim_advance (sim, 100);
+      sim->workers[0].unreachable = rows[i].unreachable;
+      sim->workers[0].drops_replies = rows[i].drops_replies;
+      sim->workers[0].start_delay_ms = rows[i].start_delay_ms;
+      sim_make_job (1, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 400);
+      assert_int_equal (sim->start_calls, 1);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_QUEUED);
+      assert_int_equal (iv_job_table_pending (sim->job_table, "x", "x"), 1);
+      sim->workers[0].unreachable = sim->workers[0].drops_replies = FALSE;
+      sim_advance (sim, 4000);
+      assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+      assert_int_equal (iv_job_table_pending (sim->job_table, "x", "x"), 0);
+      sim_free (sim);
+    }
+}
+
+/* The owner fails before it records that a job runs; the next one finds its run, or its end. */
+static void
+test_adopted_job_is_running (void **state)
+{
+  static const gboolean ends[] = { FALSE, TRUE };
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      struct sim *sim = sim_new (1);
+      sim_start_owner (sim);
+      sim->store_records = FALSE;
+      sim_make_job (2, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 100);
+      assert_int_equal (sim_total_runs (sim), 2);
+      if (ends[i])
+        {
+          sim_end_run (sim, JOB_ID, 0, 0, IV_END_FAILED);
+          sim_end_run (sim, JOB_ID, 0, 1, IV_END_DONE);
+          sim->domain_a_out = TRUE; /* no other start shows that the job runs */
+        }
+      sim->store_records = TRUE;
+      sim_start_owner (sim);
+      sim_advance (sim, 100);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+      sim_free (sim);
+    }
+}
+
 static void
 test_capacity_is_not_exceeded (void **state)
 {
@@ -636,6 +698,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_steps_in_order),
+    cmocka_unit_test (test_job_is_queued_until_a_run_is_known),
+    cmocka_unit_test (test_adopted_job_is_running),
     cmocka_unit_test (test_capacity_is_not_exceeded),
     cmocka_unit_test (test_runs_survive_owner_change),
     cmocka_unit_test (test_new_owner_waits_for_silent_workers),
