Trust no new instance without the store

Callers saw: a task could run twice after a change of owners when a worker had restarted. Cause: an owner without the store goes on for up to 8 s. What keeps it from starting what the next owner has started is that every worker refuses its fence once it has replied to that owner. A worker that restarts after that has seen no fence: it answers the old owner, which requeues what died there and starts it on the new instance, or starts a task that waits on an idle worker whose restart it has not noticed. The next owner is played by the test: the simulated cell has one owner at a time.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -441,6 +441,8 @@
   const struct iv_owner_limits *limits = &owner->limits;
   owner->wall_ms = wall_ms;
   owner->valid_until_ms = authority->valid_until_ms;
+  if (authority->confirmed)
+    owner->confirmed_ms = now_ms;
   if (owner->deposed)
     return;
   iv_owner_check_previous_runs (owner, now_ms);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -41,6 +41,7 @@
   gint64 start_window_ms; /**< a start that is sent now expires after this */
   gint64 wall_ms;         /**< wall clock of the present tick */
   gint64 valid_until_ms;  /**< replies that come later are ignored: see iv_owner_authority */
+  gint64 confirmed_ms;    /**< newest tick in which no other host could own the cell */
   gint64 next_load_log_ms;
   gboolean handed_over;         /**< only the workers in `unresolved` are waited for */
   GHashTable *unresolved;       /**< set of worker ids */
@@ -96,6 +97,13 @@
 gboolean iv_owner_is_other_instance (const struct iv_fleet_worker *worker, gint64 sent_ms,
                                      gint64 clock);
 
+/** Whether a start for @a worker is refused if another host owns the cell. While that is possible,
+ *  only an instance known from before is trusted: the next owner does not start what may run there
+ *  until it has replied to that owner, and then it knows the higher fence. A newer instance knows
+ * no fence, so the worker must have been heard from lately. */
+gboolean iv_owner_trusts_instance (const struct iv_owner *owner,
+                                   const struct iv_fleet_worker *worker, gint64 now_ms);
+
 /** The start of @a run may have been carried out by a newer instance, or may still be. A list of
  *  that instance proves it absent if it lacks the run after a stop, or after the start's deadline,
  *  which a worker compares with its own clock in whichever instance. */
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -447,10 +447,12 @@
    leases until just now. Calls meant for the instance before may have given this one the longest
    lease, as they name times on another clock. */
 static void
-note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock)
+note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock,
+                  gint64 now_ms)
 {
   gint64 lease_ms = worker->restarted ? owner->limits.lease_max_ms : owner->limits.lease_ms;
   worker->fenced = TRUE;
+  worker->fenced_ms = now_ms;
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + lease_ms);
   owner->needs_dispatch = TRUE;
 }
@@ -497,7 +499,7 @@
     return;
   note_reply (worker, reply->clock, now_ms);
   if (!worker->fenced)
-    note_first_reply (owner, worker, reply->clock);
+    note_first_reply (owner, worker, reply->clock, now_ms);
   apply_poll_reply (owner, worker, reply, now_ms);
   worker->next_poll_ms = now_ms;
   if (reply->ends->len > 0)
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -59,6 +59,7 @@
   const struct iv_owner *owner = query->owner;
   return worker->listed && worker->fenced && worker->recorded && !worker->draining
          && worker->failures == 0 && worker->quarantined_until_ms <= query->now_ms
+         && iv_owner_trusts_instance (owner, worker, query->now_ms)
          && strcmp (worker->service, query->service) == 0 && iv_worker_has_capacity (worker, step)
          && iv_worker_clock (worker, query->now_ms) + IV_MIN_START_WINDOW_MS
                 <= capacity_valid_until (worker, query)
--- a/jobs/rebirth.c
+++ b/jobs/rebirth.c
@@ -2,7 +2,9 @@
 
 #include "event.h"
 
-#define LATE_START_MAX_MS 15000       /* calls are carried out up to 12 s late, as seen */
+#define LATE_START_MAX_MS 15000 /* calls are carried out up to 12 s late, as seen */
+/* A worker does not restart in less; an idle one is polled twice in it while unconfirmed. */
+#define INSTANCE_SEEN_MS 1200
 #define CLOCK_SLOW_MARGIN_PERCENT 102 /* a lease on the slowest clock permitted */
 
 /* Lower bound of the worker's clock at @a at_ms, which may be before its newest sample. */
@@ -18,6 +20,16 @@
   return clock > 0 && clock < clock_min_at (worker, sent_ms);
 }
 
+gboolean
+iv_owner_trusts_instance (const struct iv_owner *owner, const struct iv_fleet_worker *worker,
+                          gint64 now_ms)
+{
+  if (owner->confirmed_ms >= now_ms)
+    return TRUE;
+  return worker->fenced_ms <= owner->confirmed_ms
+         && now_ms <= worker->clock_sampled_at_ms + INSTANCE_SEEN_MS;
+}
+
 void
 iv_owner_doubt_run (struct iv_run *run)
 {
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -237,6 +237,85 @@
   sim_free (sim);
 }
 
+/* The next owner, which the simulation does not have, runs the first task on worker 1; both workers
+   have replied to it. */
+static void
+next_owner_settles (struct sim *sim)
+{
+  struct sim_run run = { .name = { .job = JOB_ID }, .number = (2 << 20) + 1 };
+  sim->workers[0].fence = sim->workers[1].fence = 2;
+  sim->workers[1].lease_end_clock_ms = sim->workers[1].clock + 8000;
+  g_array_append_val (sim->workers[1].runs, run);
+}
+
+/* Guards against a start by an owner without the store on a worker that has restarted since: the
+   next owner may have settled, and the new instance does not know its fence. In the first case the
+   worker has runs and its restart is noticed, in the second it is idle, in the third the owner was
+   suspended. Confirmed again, the owner uses it. */
+static void
+test_unconfirmed_owner_starts_nothing_on_new_instances (void **state)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      gboolean idle = i > 0;
+      gboolean suspended = i == 2;
+      struct sim *sim = cell_with_idle_workers (3000);
+      guint started;
+      sim->domain_a_out = idle;
+      sim_make_job (idle ? 1 : 3, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 600);
+      started = idle ? 0 : 2;
+      assert_int_equal (sim->start_calls, started);
+      sim->confirmed = FALSE;
+      if (suspended)
+        sim->now_ms += 5000;
+      else
+        sim_advance (sim, 1000);
+      next_owner_settles (sim);
+      /* A reply would tell the owner of the next one. */
+      sim->workers[1].unreachable = TRUE;
+      sim_restart_worker (sim, 0);
+      if (!suspended)
+        advance_without_duplicates (sim, 1500);
+      sim->domain_a_out = FALSE;
+      advance_without_duplicates (sim, 4000);
+      assert_int_equal (sim->start_calls, started);
+      assert_false (iv_owner_is_deposed (sim->owner));
+      g_array_set_size (sim->workers[1].runs, 0);
+      sim->confirmed = TRUE;
+      sim_advance (sim, 500);
+      assert_int_equal (sim->workers[0].runs->len, idle ? 1 : 2);
+      sim_free (sim);
+    }
+}
+
+/* Guards against starts while the next owner has settled: an owner without the store asks idle
+   workers too, and so learns of that owner. */
+static void
+test_unconfirmed_owner_learns_of_the_next (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (3000);
+  sim->confirmed = FALSE;
+  next_owner_settles (sim);
+  sim_advance (sim, 1000);
+  assert_true (iv_owner_is_deposed (sim->owner));
+  sim_free (sim);
+}
+
+/* An owner without the store goes on to start tasks on the instances that it knew before. */
+static void
+test_unconfirmed_owner_starts_on_known_instances (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (3000);
+  sim->confirmed = FALSE;
+  sim_advance (sim, 3000);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 600);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -247,6 +326,9 @@
     cmocka_unit_test (test_late_start_on_a_new_instance_is_refused),
     cmocka_unit_test (test_replies_of_the_old_instance_prove_nothing),
     cmocka_unit_test (test_listed_runs_end_with_their_instance),
+    cmocka_unit_test (test_unconfirmed_owner_starts_nothing_on_new_instances),
+    cmocka_unit_test (test_unconfirmed_owner_learns_of_the_next),
+    cmocka_unit_test (test_unconfirmed_owner_starts_on_known_instances),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
