Log what was on a lost worker

Cause: the logs did not tell which runs were on a worker that went, how old they were and when it last replied. Change: jobs/crash.c logs worker.ended (evidence, runs without proof, a cause common to its rack or domain) and run.lost (phase, proven, age). A run is proven once its worker was alive 500 ms after its start. No change of logic.

--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -60,6 +60,8 @@
   gint64 acked_clock_ms; /**< when the worker replied to the last start or stop; a list that
                               is not newer does not prove the run absent */
   gint64 stop_sent_ms;
+  gint64 first_clock_ms;      /**< when the worker first confirmed or listed it; 0: it has not */
+  gboolean proven;            /**< the worker has survived its start: see crash.h */
   guint percent;              /**< progress, as last listed */
   gint64 progress_changed_ms; /**< when `percent` last changed */
   gint64 reported_load;   /**< tail latency in ms for a latency-critical task, else cores in use, in
@@ -88,21 +90,25 @@
   struct iv_resources capacity;
   struct iv_resources used;     /**< by its runs; without the cores of best-effort tasks */
   gint64 best_effort_cpu_milli; /**< cores declared by best-effort tasks */
-  guint latency_tasks;        /**< number of latency-critical tasks: those with a latency target */
-  gint64 latency_cpu_milli;   /**< cores declared by latency-critical tasks */
-  guint batch_tasks;          /**< tasks that end by themselves and are not best-effort */
-  gboolean listed;            /**< the platform lists it */
-  gboolean draining;          /**< it accepts no new runs */
-  gint64 unlisted_ms;         /**< when the platform stopped listing it */
-  gint64 start_time_ms;       /**< wall clock; start of its present instance */
-  gboolean fenced;            /**< it has replied under the term of this owner */
-  gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
-  gint64 clock_sampled_at_ms; /**< ...and when that reply came, on the owner's clock */
-  gint64 lease_end_clock_ms;  /**< latest end of a lease that was sent to it */
-  gint64 acked_end;           /**< run ends up to this sequence number are recorded; the worker may
-                                   discard them */
-  gint64 processed_end;       /**< run ends up to this sequence number were processed */
-  gint64 recording_end;       /**< run ends up to this sequence number are being recorded... */
+  guint latency_tasks;      /**< number of latency-critical tasks: those with a latency target */
+  gint64 latency_cpu_milli; /**< cores declared by latency-critical tasks */
+  guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
+  gint64 alive_ms;          /**< when its newest reply came; kept when it restarts */
+  gint64 ended_alive_ms;    /**< `alive_ms` of the instance that ended last; 0: none has */
+  gint64 instance_alive_since_ms; /**< first reply of its present instance; 0: none yet */
+  gboolean left_in_order;         /**< its previous instance was draining when it ended */
+  gboolean listed;                /**< the platform lists it */
+  gboolean draining;              /**< it accepts no new runs */
+  gint64 unlisted_ms;             /**< when the platform stopped listing it */
+  gint64 start_time_ms;           /**< wall clock; start of its present instance */
+  gboolean fenced;                /**< it has replied under the term of this owner */
+  gint64 sample_clock_ms;         /**< reading of its clock in the newest reply... */
+  gint64 clock_sampled_at_ms;     /**< ...and when that reply came, on the owner's clock */
+  gint64 lease_end_clock_ms;      /**< latest end of a lease that was sent to it */
+  gint64 acked_end;     /**< run ends up to this sequence number are recorded; the worker may
+                             discard them */
+  gint64 processed_end; /**< run ends up to this sequence number were processed */
+  gint64 recording_end; /**< run ends up to this sequence number are being recorded... */
   guint64 recording_collection; /**< ...and are stored once this collection of the owner is */
   gboolean polling;             /**< a poll is in flight */
   gint64 next_poll_ms;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 #include "sharing.h"
@@ -290,6 +291,7 @@
 void
 iv_owner_drop_runs (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *why)
 {
+  iv_crash_worker_ended (owner, worker, why);
   if (worker->runs->len > 0)
     iv_event (IV_LEVEL_WARNING, "worker.lost_runs", "worker=%s runs=%u reason=%s", worker->id,
               worker->runs->len, why);
@@ -395,6 +397,7 @@
       iv_event (IV_LEVEL_WARNING, "run.lapsed",
                 "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s", name.job, name.occurrence,
                 name.step, name.index, run->number, worker->id);
+      iv_crash_run_lapsed (owner, run);
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, NULL, TRUE);
     }
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "advice.h"
+#include "crash.h"
 #include "event.h"
 #include "sharing.h"
 
@@ -35,6 +36,9 @@
     return;
   worker->sample_clock_ms = clock;
   worker->clock_sampled_at_ms = now_ms;
+  worker->alive_ms = now_ms;
+  if (worker->instance_alive_since_ms == 0)
+    worker->instance_alive_since_ms = now_ms;
 }
 
 static void
@@ -392,6 +396,7 @@
       note_progress (owner, run, listed, now_ms);
     }
   drop_absent (owner, worker, reply);
+  iv_crash_worker_replied (owner, worker);
   stop_stalled (owner, worker, now_ms);
   iv_sharing_update (owner, worker, now_ms);
 }
