--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -27,6 +27,7 @@
   gint64 lease_end_clock_ms;
   gint64 acked_end;
   gint64 sent_ms;
+  gint64 start_time_ms; /* of the worker instance that it is meant for */
   gint64 reply_ms;      /* when the reply arrives; a timeout arrives CALL_TIMEOUT_MS later */
   gint64 wait_until_ms; /* a poll without new ends gets its reply then */
   gboolean done;        /* handled by the worker */
@@ -52,6 +53,7 @@
   call->term = sim->term;
   call->worker = index_of (sim, worker->id);
   call->handle = worker->handle;
+  call->start_time_ms = worker->start_time_ms;
   call->sent_ms = sim->now_ms;
   call->reply_ms = sim->now_ms + CALL_LATENCY_MS;
   g_ptr_array_add (sim->calls, call);
@@ -175,10 +177,22 @@
   return FALSE;
 }
 
+static void
+note_deadly_start (struct sim *sim, struct sim_worker *worker, const struct iv_task_name *name)
+{
+  if (sim->is_deadly == NULL || !sim->is_deadly (name))
+    return;
+  sim->deadly_starts[name->index % SIM_DEADLY_MAX]++;
+  worker->crash_ms = sim->now_ms + sim->crash_after_ms;
+  worker->holds_suspect = sim->deadly_starts[name->index % SIM_DEADLY_MAX] > 1;
+}
+
 static enum iv_command_outcome
 handle_start (struct sim *sim, struct sim_worker *worker, const struct sim_call *call)
 {
-  struct sim_run run = { .name = call->name, .number = call->number, .cpu_limit_percent = 100 };
+  struct sim_run run = {
+    .name = call->name, .number = call->number, .started_ms = sim->now_ms, .cpu_limit_percent = 100
+  };
   if (call->until < worker->clock)
     return IV_COMMAND_EXPIRED;
   if (has_ended (worker, call))
@@ -194,7 +208,9 @@
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_same_task (&g_array_index (worker->runs, struct sim_run, i).name, &call->name))
       return IV_COMMAND_OK;
+  sim->beside_suspect += worker->holds_suspect;
   g_array_append_val (worker->runs, run);
+  note_deadly_start (sim, worker, &call->name);
   return IV_COMMAND_OK;
 }
 
@@ -245,6 +261,12 @@
   struct sim_worker *worker = &sim->workers[call->worker];
   call->done = TRUE;
   call->clock = worker->clock;
+  if (call->kind != CALL_POLL && call->start_time_ms != worker->start_time_ms)
+    {
+      call->outcome = IV_COMMAND_WRONG_INSTANCE;
+      call->clock = 0;
+      return;
+    }
   if (call->term < worker->fence)
     {
       call->outcome = IV_COMMAND_FENCED;
@@ -349,6 +371,69 @@
     }
 }
 
+static void
+list_worker (struct sim *sim, const struct sim_worker *worker)
+{
+  char *labels[] = { "kind", (char *)worker->rack, NULL };
+  struct iv_listed_worker listed = { .id = worker->id,
+                                     .service = "service",
+                                     .address = "127.0.0.1:1",
+                                     .domain = worker->domain,
+                                     .rack = worker->rack,
+                                     .labels = labels,
+                                     .capacity = { worker->capacity_milli, 100000, 0 },
+                                     .draining = worker->draining,
+                                     .start_time_ms = worker->start_time_ms };
+  iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
+}
+
+void
+sim_drain_worker (struct sim *sim, guint i)
+{
+  sim->workers[i].draining = TRUE;
+  list_worker (sim, &sim->workers[i]);
+}
+
+void
+sim_crash_worker (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  g_array_set_size (worker->runs, 0);
+  worker->crash_ms = 0;
+  worker->holds_suspect = FALSE;
+  worker->back_ms = sim->now_ms + SIM_DOWN_MS;
+  worker->unreachable = TRUE;
+}
+
+/* Crashes the worker, or brings it back, when it is time. */
+static void
+advance_crash (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  if (worker->crash_ms > 0 && sim->now_ms >= worker->crash_ms)
+    sim_crash_worker (sim, i);
+  if (worker->back_ms == 0 || sim->now_ms < worker->back_ms)
+    return;
+  worker->back_ms = 0;
+  worker->unreachable = FALSE;
+  sim_restart_worker (sim, i);
+  if (sim->owner)
+    list_worker (sim, worker);
+}
+
+/* Ends the runs on @a worker that are done. */
+static void
+end_done_runs (const struct sim *sim, struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; sim->run_ms > 0 && i-- > 0;)
+    {
+      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      if (sim->now_ms >= run->started_ms + sim->run_ms
+          && (sim->is_deadly == NULL || !sim->is_deadly (&run->name)))
+        end_run (worker, i, IV_END_DONE);
+    }
+}
+
 static void
 advance_workers (struct sim *sim)
 {
@@ -360,6 +445,8 @@
         g_array_index (worker->runs, struct sim_run, j).percent = worker->clock / 200 % 100;
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
         end_run (worker, 0, IV_END_LEASE_EXPIRED);
+      end_done_runs (sim, worker);
+      advance_crash (sim, i);
     }
 }
 
@@ -419,6 +506,7 @@
   sim->authority_ms = 8000;
   sim->store_records = TRUE;
   sim->attempts = 3;
+  sim->crash_after_ms = 10;
   sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
                                           .start_ms = 1500,
                                           .horizon_ms = 8600,
@@ -460,20 +548,7 @@
 list_all_workers (struct sim *sim)
 {
   for (guint i = 0; i < sim->count; i++)
-    {
-      const struct sim_worker *worker = &sim->workers[i];
-      char *labels[] = { "kind", (char *)worker->rack, NULL };
-      struct iv_listed_worker listed = { .id = worker->id,
-                                         .service = "service",
-                                         .address = "127.0.0.1:1",
-                                         .domain = worker->domain,
-                                         .rack = worker->rack,
-                                         .labels = labels,
-                                         .capacity = { worker->capacity_milli, 100000, 0 },
-                                         .draining = worker->draining,
-                                         .start_time_ms = worker->start_time_ms };
-      iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
-    }
+    list_worker (sim, &sim->workers[i]);
   iv_owner_worker_list_loaded (sim->owner);
 }
 
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -11,12 +11,15 @@
 #include "owner.h"
 
 #define SIM_WORKERS_MAX 8
+#define SIM_DEADLY_MAX 8
+#define SIM_DOWN_MS 3000 /**< a worker that crashed is back after this */
 
 /** A run on a simulated worker. */
 struct sim_run
 {
   struct iv_task_name name;
   gint64 number;
+  gint64 started_ms;       /**< in simulated time */
   gint64 percent;          /**< progress */
   gint64 tail_ms;          /**< tail latency that the worker reports for it */
   guint cpu_limit_percent; /**< CPU limit, percent of full speed */
@@ -37,10 +40,13 @@
   gboolean drops_replies;  /**< calls reach it, their replies are lost */
   gboolean refuses_starts; /**< starts are refused for lack of capacity */
   gboolean draining;
-  gint64 start_delay_ms; /**< starts are carried out this much later */
-  GArray *runs;          /**< of struct sim_run */
-  GArray *ends;          /**< of struct iv_listed_end */
-  gint64 last_end;       /**< sequence number of the newest end */
+  gint64 start_delay_ms;  /**< starts are carried out this much later */
+  gint64 crash_ms;        /**< it crashes then, because of a task; 0: it does not */
+  gboolean holds_suspect; /**< a task that has crashed another worker has started on it */
+  gint64 back_ms;         /**< a crashed worker is back then; 0: it is up */
+  GArray *runs;           /**< of struct sim_run */
+  GArray *ends;           /**< of struct iv_listed_end */
+  gint64 last_end;        /**< sequence number of the newest end */
 };
 
 /** A call that has not been delivered, or has no reply yet. */
@@ -70,6 +76,12 @@
   gint64 advice_reply_ms;       /**< when the outstanding advice query gets its reply; 0: none is */
   GPtrArray *advice_worker_ids; /**< of char *: worker ids in that query */
   guint advice_queries;
+  gboolean (*is_deadly) (
+      const struct iv_task_name *name); /**< crashes its worker; NULL: none does */
+  guint deadly_starts[SIM_DEADLY_MAX];  /**< by index of the deadly task */
+  guint beside_suspect;                 /**< starts on a worker that holds such a task */
+  gint64 crash_after_ms;                /**< from the start of a deadly task to the crash */
+  gint64 run_ms;    /**< tasks that are not deadly end as done after this; 0: never */
   guint no_ticket;  /**< starts that were refused for lack of a ticket */
   guint attempts;   /**< failed runs of a task that end its job */
   GPtrArray *calls; /**< of struct sim_call */
@@ -112,6 +124,12 @@
 /** State of a job as recorded. */
 enum ivj_state sim_job_state (const struct sim *sim, const char *id);
 
+/** Let a worker drain, and list it so. */
+void sim_drain_worker (struct sim *sim, guint worker);
+
+/** Crash a worker: it is silent for SIM_DOWN_MS, then back as a new instance. */
+void sim_crash_worker (struct sim *sim, guint worker);
+
 /** Restart a worker: a new instance without runs, ends, fence and lease. */
 void sim_restart_worker (struct sim *sim, guint worker);
 
--- /dev/null
+++ b/jobs/tests/crash_test.c
@@ -0,0 +1,291 @@
+#include "bench_job.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* The users' bound: no start three times more after three workers have crashed. */
+#define STARTS_MAX 5
+
+static gboolean
+is_first_task (const struct iv_task_name *name)
+{
+  return strcmp (name->job, JOB_ID) == 0 && name->step == 0 && name->index == 0;
+}
+
+static gboolean
+is_any_task_of_job (const struct iv_task_name *name)
+{
+  return strcmp (name->job, JOB_ID) == 0;
+}
+
+static guint
+most_starts (const struct sim *sim)
+{
+  guint most = 0;
+  for (guint i = 0; i < SIM_DEADLY_MAX; i++)
+    most = MAX (most, sim->deadly_starts[i]);
+  return most;
+}
+
+/* Owns a cell and submits @a others harmless tasks, then a job of @a count tasks. */
+static struct sim *
+cell_with_deadly (guint workers, guint count, guint others,
+                  gboolean (*is_deadly) (const struct iv_task_name *name))
+{
+  struct sim *sim = sim_new (workers);
+  sim->is_deadly = is_deadly;
+  sim->run_ms = 1500;
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  if (others > 0)
+    {
+      sim_make_job (others, 0);
+      sim_steps[0].cpu_milli = 500;
+      sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+    }
+  sim_make_job (count, 0);
+  sim_steps[0].cpu_milli = 500;
+  return sim;
+}
+
+/* A task that crashes its workers was started again until the day ended, each time on another. */
+static void
+test_deadly_task_is_given_up (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, is_first_task);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 40000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
+/* Every task of a job may be deadly: each that starts takes a worker with it. */
+static void
+test_job_of_deadly_tasks_is_given_up (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 6, 8, is_any_task_of_job);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 60000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  assert_int_equal (sim_job_state (sim, OTHER_JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
+/* Harmless tasks on the same workers must be finished, not given up with the deadly one. */
+static void
+test_tasks_beside_a_deadly_one_are_finished (void **state)
+{
+  struct sim *sim = cell_with_deadly (4, 1, 24, is_first_task);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 60000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  assert_int_equal (sim_job_state (sim, OTHER_JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
+/* New starts beside a suspect would be accused with it, so that no crash would ever tell. */
+static void
+test_nothing_starts_beside_a_suspect (void **state)
+{
+  struct sim *sim = cell_with_deadly (4, 1, 24, is_first_task);
+  sim->crash_after_ms = 200;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 60000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_int_equal (sim->beside_suspect, 0);
+  sim_free (sim);
+}
+
+/* A start whose answer is lost crashes the worker all the same. */
+static void
+test_start_without_an_answer_counts (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, is_first_task);
+  for (guint i = 0; i < sim->count; i++)
+    sim->workers[i].drops_replies = TRUE;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint i = 0; i < 600; i++)
+    {
+      /* Polls get answers again as soon as the worker is back. */
+      sim_advance (sim, 100);
+      for (guint j = 0; j < sim->count; j++)
+        sim->workers[j].drops_replies = sim->workers[j].back_ms > 0 || i % 40 < 2;
+    }
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
+/* The count must outlive its owner: each takeover would start it from the beginning. */
+static void
+test_count_survives_takeovers (void **state)
+{
+  for (gint64 interval_ms = 3500; interval_ms <= 9000; interval_ms += 500)
+    {
+      struct sim *sim = cell_with_deadly (8, 1, 0, is_first_task);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      for (guint i = 0; i < 16; i++)
+        {
+          sim_advance (sim, interval_ms);
+          sim_start_owner (sim);
+        }
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+      assert_in_range (most_starts (sim), 2, STARTS_MAX);
+      sim_free (sim);
+    }
+}
+
+/* A start before the count is in the stream would not be counted after a takeover. */
+static void
+test_suspect_waits_for_its_record (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, is_first_task);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 100);
+  sim->store_records = FALSE;
+  sim_advance (sim, 8000);
+  assert_int_equal (most_starts (sim), 1);
+  sim->store_records = TRUE;
+  sim_advance (sim, 1000);
+  assert_int_equal (most_starts (sim), 2);
+  sim_free (sim);
+}
+
+/* A long-running task has no limit of failed runs, but must not crash workers without end. */
+static void
+test_deadly_long_running_task_is_given_up (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 3, 0, is_first_task);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 40000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
+/* The member of a gang that crashes its worker breaks the whole gang each time. */
+static void
+test_deadly_member_of_a_gang_is_given_up (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 3, 0, is_first_task);
+  sim_steps[0].flags = IVJ_GANG;
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint i = 0; i < 400; i++)
+    {
+      gboolean whole = sim_running_count (sim, JOB_ID, 0, 0) > 0;
+      sim_advance (sim, 100);
+      for (guint j = 1; !whole && j < 3; j++)
+        sim_end_run (sim, JOB_ID, 0, j, IV_END_GANG_BROKEN);
+    }
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
+/* Workers that crash for causes of their own must not cost a job that can be done. */
+static void
+test_crashes_of_other_causes_are_forgiven (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, NULL);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint round = 0; round < 8; round++)
+    {
+      /* In turn right after the start, and after the run has lasted. */
+      for (guint i = 0; i < 1000 && sim_total_runs (sim) == 0; i++)
+        sim_advance (sim, 10);
+      assert_int_equal (sim_total_runs (sim), 1);
+      if (round % 2 == 1)
+        sim_advance (sim, 2000);
+      for (guint i = 0; i < sim->count; i++)
+        if (sim->workers[i].runs->len > 0)
+          sim_crash_worker (sim, i);
+    }
+  sim_advance (sim, 8000);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
+/* A rack that loses power accuses none of the tasks that had just started there. */
+static void
+test_loss_of_a_rack_accuses_nobody (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 8, 0, NULL);
+  for (guint i = 0; i < sim->count; i++)
+    g_strlcpy (sim->workers[i].rack, "r0", sizeof sim->workers[i].rack);
+  sim_start_owner (sim);
+  sim->run_ms = 0;
+  sim_steps[0].cpu_milli = 3000;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint round = 0; round < 4; round++)
+    {
+      for (guint i = 0; i < 1500 && sim_total_runs (sim) < 8; i++)
+        sim_advance (sim, 10);
+      assert_int_equal (sim_total_runs (sim), 8);
+      for (guint i = 0; i < sim->count; i++)
+        sim_crash_worker (sim, i);
+    }
+  sim_advance (sim, 8000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
+/* A worker that drains and ends takes its runs with it in order. */
+static void
+test_worker_that_leaves_accuses_nobody (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, NULL);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint round = 0; round < 4; round++)
+    {
+      for (guint i = 0; i < 1000 && sim_total_runs (sim) == 0; i++)
+        sim_advance (sim, 10);
+      for (guint i = 0; i < sim->count; i++)
+        if (sim->workers[i].runs->len > 0)
+          {
+            sim_drain_worker (sim, i);
+            sim_advance (sim, 20);
+            sim_crash_worker (sim, i);
+            sim->workers[i].draining = FALSE;
+          }
+    }
+  sim_advance (sim, 8000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+  sim_free (sim);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_deadly_task_is_given_up),
+    cmocka_unit_test (test_job_of_deadly_tasks_is_given_up),
+    cmocka_unit_test (test_tasks_beside_a_deadly_one_are_finished),
+    cmocka_unit_test (test_nothing_starts_beside_a_suspect),
+    cmocka_unit_test (test_start_without_an_answer_counts),
+    cmocka_unit_test (test_count_survives_takeovers),
+    cmocka_unit_test (test_suspect_waits_for_its_record),
+    cmocka_unit_test (test_deadly_long_running_task_is_given_up),
+    cmocka_unit_test (test_deadly_member_of_a_gang_is_given_up),
+    cmocka_unit_test (test_crashes_of_other_causes_are_forgiven),
+    cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
+    cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
