Give up tasks that crash their workers

Change: when an instance has ended, the runs on it that had not survived 500 ms are suspected. Suspects start apart: on a worker with no other new start, where least is lost, and nothing starts beside them until they have survived, which clears them. A job is given up when a task was the only suspect twice, the last of three times, or after four crashes. The count is stored (key ID+c) before the next start; a new owner counts one for a suspect that it finds nowhere. Racks, domains and workers that drained accuse nobody.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -459,8 +459,10 @@
   for (guint i = 0; i < expired->len; i++)
     {
       const struct iv_job_entry *job = g_ptr_array_index (expired, i);
-      static const char *const key_suffixes[] = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE };
-      const gboolean has_key[] = { TRUE, TRUE, job->cancel, job->moved_to >= 0 };
+      static const char *const key_suffixes[]
+          = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE, IV_KEY_CRASHES };
+      const gboolean has_key[]
+          = { TRUE, TRUE, job->cancel, job->moved_to >= 0, job->has_crash_record };
       for (guint j = 0; owns_cell_of (app, job) && j < G_N_ELEMENTS (key_suffixes); j++)
         {
           char key[IV_JOB_ID_LEN + 8];
--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -3,8 +3,6 @@
 #include "event.h"
 #include "owner_private.h"
 
-#include <stdlib.h>
-
 /* A worker that is alive this long after the start of a run has survived it. Tasks that crash
    their workers were seen to do so within some 10 ms; lists come every 500 ms. */
 #define PROBATION_MS 500
@@ -12,8 +10,53 @@
 #define TOGETHER_MS 700
 #define TOGETHER_MIN 2 /* other workers that must have ended with one for a common cause */
 
+/* A task is to blame when it was the only suspect twice; when it was the last time, of three; or
+   after so many crashes in any company. */
+#define ALONE_MAX 2
+#define CRASHES_LAST_ALONE 3
+#define CRASHES_MAX 4
+/* Time for the newest runs on a worker to prove harmless, with a list between. */
+#define RESERVE_MS (2 * PROBATION_MS + 200)
+/* Score of a long-running task or a gang member that would be lost, in thousandths of a core. */
+#define SCORE_LOSES_LONG_WORK (-20000)
+
 static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
 
+static guint
+count_unproven (const struct iv_fleet_worker *worker)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    count += !((const struct iv_run *)g_ptr_array_index (worker->runs, i))->proven;
+  return count;
+}
+
+void
+iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+                const struct iv_task_name *name)
+{
+  if (task->crashes == 0)
+    return;
+  iv_event (IV_LEVEL_INFO, "task.cleared", "task=%s.%u.%u.%u crashes=%u alone=%u", name->job,
+            name->occurrence, name->step, name->index, task->crashes, task->crashes_alone);
+  task->crashes = 0;
+  task->crashes_alone = 0;
+  exec->needs_record = TRUE;
+  iv_owner_queue_record (owner, exec);
+}
+
+static void
+clear_suspect (struct iv_owner *owner, struct iv_run *run)
+{
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
+  run->suspect = FALSE;
+  run->worker->suspects--;
+  owner->needs_dispatch = TRUE;
+  if (task)
+    iv_crash_clear (owner, exec, task, &run->name);
+}
+
 static void
 prove_run (struct iv_run *run, gint64 clock_ms)
 {
@@ -28,7 +71,14 @@
 iv_crash_worker_replied (struct iv_owner *owner, struct iv_fleet_worker *worker)
 {
   for (guint i = 0; i < worker->runs->len; i++)
-    prove_run (g_ptr_array_index (worker->runs, i), worker->sample_clock_ms);
+    {
+      struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      prove_run (run, worker->sample_clock_ms);
+      if (run->proven && run->suspect)
+        clear_suspect (owner, run);
+    }
+  if (worker->reserved_for && worker->suspects == 0 && count_unproven (worker) == 0)
+    owner->needs_dispatch = TRUE;
 }
 
 static gboolean
@@ -104,13 +154,192 @@
             worker->alive_ms - run->sent_ms);
 }
 
-static guint
-count_unproven (const struct iv_fleet_worker *worker)
+/* Stores the count of a task of @a exec before the task starts again. */
+static void
+record_crash (struct iv_owner *owner, struct iv_job_exec *exec)
 {
-  guint count = 0;
+  exec->has_crashes = TRUE;
+  exec->crash_batch = owner->batch + 1;
+  exec->needs_record = TRUE;
+  iv_owner_queue_record (owner, exec);
+}
+
+static gboolean
+is_to_blame (const struct iv_job_task *task, gboolean alone)
+{
+  return task->crashes_alone >= ALONE_MAX || (alone && task->crashes >= CRASHES_LAST_ALONE)
+         || task->crashes >= CRASHES_MAX;
+}
+
+static void
+judge (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_job_task *task,
+       const struct iv_task_name *name, gboolean alone)
+{
+  if (!is_to_blame (task, alone) || exec->hopeless)
+    return;
+  exec->hopeless = TRUE;
+  owner->hopeless = TRUE;
+  iv_event (IV_LEVEL_WARNING, "job.given_up",
+            "job=%s task=%s.%u.%u.%u crashes=%u alone=%u last_alone=%d", name->job, name->job,
+            name->occurrence, name->step, name->index, task->crashes, task->crashes_alone, alone);
+}
+
+/* Counts the end of its worker against the task of @a run. @a alone: no other run may be to
+   blame. */
+static void
+accuse (struct iv_owner *owner, struct iv_run *run, gboolean alone, const char *evidence)
+{
+  const struct iv_task_name *name = &run->name;
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, NULL) : NULL;
+  run->accused = TRUE;
+  if (task == NULL || task->state == IV_JOB_TASK_DONE)
+    return;
+  task->crashes++;
+  task->crashes_alone += alone ? 1 : 0;
+  record_crash (owner, exec);
+  iv_event (IV_LEVEL_INFO, "task.suspected",
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s evidence=%s crashes=%u alone=%u",
+            name->job, name->occurrence, name->step, name->index, run->number, run->worker->id,
+            evidence, task->crashes, task->crashes_alone);
+  judge (owner, exec, task, name, alone);
+}
+
+static void
+accuse_unproven (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *evidence)
+{
+  gboolean alone = count_unproven (worker) == 1;
   for (guint i = 0; i < worker->runs->len; i++)
-    count += !((const struct iv_run *)g_ptr_array_index (worker->runs, i))->proven;
-  return count;
+    {
+      struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (!run->proven && !run->accused)
+        accuse (owner, run, alone, evidence);
+    }
+}
+
+static void
+count_unseen (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+              const struct iv_task_name *name)
+{
+  if (task->crashes == 0 || task->state != IV_JOB_TASK_WAITING || task->run > 0)
+    return;
+  task->crashes++;
+  record_crash (owner, exec);
+  iv_event (IV_LEVEL_INFO, "task.suspected",
+            "task=%s.%u.%u.%u evidence=inherited crashes=%u alone=%u", name->job, name->occurrence,
+            name->step, name->index, task->crashes, task->crashes_alone);
+  judge (owner, exec, task, name, FALSE);
+}
+
+static void
+count_unseen_of_job (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  struct iv_task_name name = { 0 };
+  g_strlcpy (name.job, exec->job->id, sizeof name.job);
+  for (guint i = 0; i < exec->job->crashes.tasks.tasks_len; i++)
+    {
+      const ivj_crash *crash = &exec->job->crashes.tasks.tasks_val[i];
+      struct iv_job_task *task;
+      name.occurrence = crash->occurrence;
+      name.step = crash->step;
+      name.index = crash->index;
+      task = iv_job_exec_task (exec, &name, NULL);
+      if (task)
+        count_unseen (owner, exec, task, &name);
+    }
+}
+
+void
+iv_crash_previous_runs_known (struct iv_owner *owner)
+{
+  for (guint i = 0; i < owner->execs->len; i++)
+    {
+      struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (exec->inherited && exec->has_crashes)
+        count_unseen_of_job (owner, exec);
+    }
+}
+
+void
+iv_crash_give_up (struct iv_owner *owner, gint64 now_ms)
+{
+  if (!owner->hopeless)
+    return;
+  owner->hopeless = FALSE;
+  for (guint i = owner->execs->len; i-- > 0;)
+    {
+      struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (exec->hopeless)
+        iv_owner_end_job (owner, exec, IVJ_FAILED, now_ms);
+    }
+}
+
+gboolean
+iv_crash_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                    const struct iv_job_task *task)
+{
+  return task->crashes == 0 || (!exec->hopeless && owner->stored_batch >= exec->crash_batch);
+}
+
+void
+iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *worker = run->worker;
+  run->suspect = task->crashes > 0;
+  worker->suspects += run->suspect ? 1 : 0;
+  if (worker->reserved_for == task)
+    worker->reserved_for = NULL;
+}
+
+static gboolean
+is_reserved (const struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  return worker->reserved_for && now_ms < worker->reserved_until_ms;
+}
+
+gboolean
+iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
+                 gint64 now_ms)
+{
+  if (worker->suspects > 0 || (is_reserved (worker, now_ms) && worker->reserved_for != task))
+    return FALSE;
+  return task->crashes == 0 || count_unproven (worker) == 0;
+}
+
+gint64
+iv_crash_score (const struct iv_fleet_worker *worker)
+{
+  gint64 points = -2 * worker->used.cpu_milli;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (run->step && run->step->flags & (IVJ_LONG_RUNNING | IVJ_GANG))
+        points += SCORE_LOSES_LONG_WORK;
+    }
+  return points;
+}
+
+struct iv_fleet_worker *
+iv_crash_better_busy (struct iv_fleet_worker *busy, struct iv_fleet_worker *worker,
+                      const struct iv_job_task *task, gint64 now_ms)
+{
+  if (task->crashes == 0 || worker->suspects > 0)
+    return busy;
+  if (busy && busy->reserved_for == task && is_reserved (busy, now_ms))
+    return busy;
+  if (is_reserved (worker, now_ms))
+    return worker->reserved_for == task ? worker : busy;
+  return busy == NULL || iv_crash_score (worker) > iv_crash_score (busy) ? worker : busy;
+}
+
+void
+iv_crash_reserve (const struct iv_owner *owner, struct iv_fleet_worker *worker,
+                  const struct iv_job_task *task, gint64 now_ms)
+{
+  if (is_reserved (worker, now_ms))
+    return;
+  worker->reserved_for = task;
+  worker->reserved_until_ms = now_ms + RESERVE_MS;
 }
 
 void
@@ -124,6 +353,8 @@
               cause ? cause : "unknown", worker->alive_ms);
   for (guint i = 0; i < worker->runs->len; i++)
     log_lost_run (g_ptr_array_index (worker->runs, i), evidence);
+  if (cause == NULL)
+    accuse_unproven (owner, worker, evidence);
   worker->ended_alive_ms = worker->alive_ms;
   worker->left_in_order = FALSE;
 }
@@ -131,5 +362,8 @@
 void
 iv_crash_run_lapsed (struct iv_owner *owner, struct iv_run *run)
 {
-  log_lost_run (run, run->worker->listed ? "silent" : "silent_unlisted");
+  const struct iv_fleet_worker *worker = run->worker;
+  log_lost_run (run, worker->listed ? "silent" : "silent_unlisted");
+  if (!worker->listed && !run->proven && !run->accused && outer_cause (owner, worker) == NULL)
+    accuse (owner, run, FALSE, "silent_unlisted");
 }
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -16,6 +16,43 @@
 void iv_crash_worker_ended (struct iv_owner *owner, struct iv_fleet_worker *worker,
                             const char *evidence);
 
+/** Whether @a task may start as far as crashes go: a task under suspicion waits until its count is
+ *  stored. */
+gboolean iv_crash_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                             const struct iv_job_task *task);
+
+/** @a run of @a task was added to its worker: under suspicion, it is kept apart. */
+void iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task);
+
+/** Whether @a worker takes @a task: nothing starts beside a task under suspicion, and such a task
+ *  only where nothing else has just started. */
+gboolean iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
+                          gint64 now_ms);
+
+/** Score of @a worker for a task under suspicion: lower the more its crash would cost. */
+gint64 iv_crash_score (const struct iv_fleet_worker *worker);
+
+/** The better one of @a busy (NULL: none) and @a worker, which does not admit @a task now, to be
+ *  kept free for it. */
+struct iv_fleet_worker *iv_crash_better_busy (struct iv_fleet_worker *busy,
+                                              struct iv_fleet_worker *worker,
+                                              const struct iv_job_task *task, gint64 now_ms);
+
+/** Start nothing else on @a worker until @a task can start there, for a limited time. */
+void iv_crash_reserve (const struct iv_owner *owner, struct iv_fleet_worker *worker,
+                       const struct iv_job_task *task, gint64 now_ms);
+
+/** @a task has survived a start: it is under suspicion no more. */
+void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+                     const struct iv_task_name *name);
+
+/** The runs of previous owners are known. A task under suspicion that none of them is of is taken
+ * to have crashed its worker unseen. */
+void iv_crash_previous_runs_known (struct iv_owner *owner);
+
+/** End the jobs with a task that is to blame for crashes as failed. */
+void iv_crash_give_up (struct iv_owner *owner, gint64 now_ms);
+
 /** The lease of @a run expired on a silent worker. To be called before the run is dropped. */
 void iv_crash_run_lapsed (struct iv_owner *owner, struct iv_run *run);
 
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "advice.h"
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 #include "queue_order.h"
@@ -49,6 +50,7 @@
            const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
 {
   return task->state == IV_JOB_TASK_WAITING && now_ms >= task->not_before_ms
+         && iv_crash_may_start (owner, exec, task)
          && (owner->previous_runs_known || !exec->inherited || stage->runs_known
              || task->runs_known);
 }
@@ -65,6 +67,7 @@
   command.ticket = iv_advice_ticket (stage->advice, worker, now_ms);
   command.deadline_clock_ms = iv_worker_clock (worker, now_ms) + owner->start_window_ms;
   run->phase = IV_RUN_PHASE_STARTING;
+  iv_crash_run_started (run, task);
   run->workload = iv_sharing_workload (owner, stage->step);
   iv_sharing_add_run (owner, run, now_ms);
   run->start_deadline_clock_ms = command.deadline_clock_ms;
@@ -106,6 +109,9 @@
       if (!may_start (owner, exec, stage, task, now_ms))
         continue;
       worker = iv_place_task (query, task);
+      /* A task under suspicion may lack a worker that others can use. */
+      if (worker == NULL && task->crashes > 0)
+        continue;
       if (worker == NULL || (query->starved && exec->placed > 0))
         return;
       name->index = i;
@@ -141,7 +147,8 @@
       if (chosen[found] == NULL)
         break;
       name->index = found;
-      iv_run_add (chosen[found], name, stage->step, -1, now_ms);
+      iv_crash_run_started (iv_run_add (chosen[found], name, stage->step, -1, now_ms),
+                            &stage->tasks[found]);
     }
   for (guint i = 0; i < found; i++)
     {
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -181,6 +181,7 @@
 iv_run_remove (struct iv_run *run)
 {
   add_usage (run, -1);
+  run->worker->suspects -= run->suspect ? 1 : 0;
   g_ptr_array_remove_fast (run->worker->runs, run);
   g_free (run);
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -60,9 +60,11 @@
   gint64 acked_clock_ms; /**< when the worker replied to the last start or stop; a list that
                               is not newer does not prove the run absent */
   gint64 stop_sent_ms;
-  gint64 first_clock_ms;      /**< when the worker first confirmed or listed it; 0: it has not */
-  gboolean proven;            /**< the worker has survived its start: see crash.h */
-  guint percent;              /**< progress, as last listed */
+  gint64 first_clock_ms; /**< when the worker first confirmed or listed it; 0: it has not */
+  gboolean suspect;      /**< its task is suspected of crashes and has not survived this start */
+  gboolean accused;      /**< the end of its worker was counted against its task */
+  gboolean proven;       /**< the worker has survived its start: see crash.h */
+  guint percent;         /**< progress, as last listed */
   gint64 progress_changed_ms; /**< when `percent` last changed */
   gint64 reported_load;   /**< tail latency in ms for a latency-critical task, else cores in use, in
                                thousandths */
@@ -115,6 +117,9 @@
   guint failures; /**< consecutive requests without a reply */
   guint consecutive_failed_runs;
   gint64 quarantined_until_ms; /**< no new runs before this, after failed or refused ones */
+  guint suspects;              /**< runs of tasks under suspicion that may crash it */
+  const void *reserved_for;    /**< task under suspicion that it is kept free for */
+  gint64 reserved_until_ms;    /**< end of that reservation */
   GPtrArray *runs;             /**< of struct iv_run */
 };
 
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -92,6 +92,24 @@
   exec->opened = MAX (exec->opened, progress->number + 1);
 }
 
+static void
+load_crashes (struct iv_job_exec *exec)
+{
+  const ivj_crashes *crashes = &exec->job->crashes;
+  for (guint i = 0; i < crashes->tasks.tasks_len; i++)
+    {
+      const ivj_crash *crash = &crashes->tasks.tasks_val[i];
+      struct iv_task_name name
+          = { .occurrence = crash->occurrence, .step = crash->step, .index = crash->index };
+      struct iv_job_task *task = iv_job_exec_task (exec, &name, NULL);
+      if (task == NULL || task->state == IV_JOB_TASK_DONE)
+        continue;
+      task->crashes = crash->crashes;
+      task->crashes_alone = crash->alone;
+      exec->has_crashes = TRUE;
+    }
+}
+
 struct iv_job_exec *
 iv_job_exec_new (struct iv_job_entry *job, gint64 now_ms)
 {
@@ -106,6 +124,7 @@
   exec->started = job->live_state != IVJ_QUEUED;
   for (guint i = 0; i < job->progress.open.open_len; i++)
     load_occurrence (exec, &job->progress.open.open_val[i]);
+  load_crashes (exec);
   job->exec = exec;
   return exec;
 }
@@ -306,6 +325,40 @@
   return bytes;
 }
 
+static void
+pack_crashes (const struct iv_occurrence *occurrence, const struct iv_stage *stage, GArray *rows)
+{
+  for (guint i = 0; i < stage->step->count; i++)
+    {
+      const struct iv_job_task *task = &stage->tasks[i];
+      ivj_crash row = { occurrence->number, stage->number, i, task->crashes, task->crashes_alone };
+      if (task->crashes > 0 && task->state != IV_JOB_TASK_DONE)
+        g_array_append_val (rows, row);
+    }
+}
+
+GByteArray *
+iv_job_exec_encode_crashes (const struct iv_job_exec *exec)
+{
+  ivj_crashes packed = { 0 };
+  GByteArray *bytes;
+  GArray *rows;
+  if (!exec->has_crashes)
+    return NULL;
+  rows = g_array_new (FALSE, FALSE, sizeof (ivj_crash));
+  for (guint i = 0; i < exec->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
+      for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
+        pack_crashes (occurrence, &occurrence->stages[j], rows);
+    }
+  packed.tasks.tasks_len = rows->len;
+  packed.tasks.tasks_val = (ivj_crash *)(void *)rows->data;
+  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_crashes, &packed, IV_RECORD_MAX_BYTES);
+  g_array_free (rows, TRUE);
+  return bytes;
+}
+
 gint64
 iv_job_critical_path_ms (const ivj_job *spec)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -24,6 +24,8 @@
   gint64 not_before_ms; /**< monotonic clock; earliest next start after a failure */
   guint failures;       /**< failed runs, each counted once */
   gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
+  guint crashes;        /**< crashes that it is suspected of since it last survived a start */
+  guint crashes_alone;  /**< those of them in which it was the only suspect */
   guint32 avoid_worker; /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;  /**< no run of it can exist that this owner does not know of */
   char *checkpoint;     /**< to resume from; NULL: start from the beginning */
@@ -62,6 +64,9 @@
   gboolean needs_record;    /**< progress has changed since it was last recorded */
   gboolean started;         /**< a task of it has started */
   gboolean inherited;       /**< a previous owner may have started tasks of it */
+  gboolean has_crashes;     /**< a task of it was suspected of a crash */
+  gboolean hopeless;        /**< a task of it is to blame for crashes */
+  guint64 crash_batch;      /**< collection that records the newest crash; suspects wait for it */
   guint placed;             /**< tasks that run or may run */
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
@@ -109,6 +114,10 @@
  *  g_byte_array_unref(). */
 GByteArray *iv_job_exec_encode (const struct iv_job_exec *exec);
 
+/** Encode the record of the crashes that tasks of the job are suspected of. NULL when none ever
+ * was, or the record is too large. */
+GByteArray *iv_job_exec_encode_crashes (const struct iv_job_exec *exec);
+
 /** Length of the critical path of @a spec by estimated run times, milliseconds. */
 gint64 iv_job_critical_path_ms (const ivj_job *spec);
 
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -17,6 +17,7 @@
   struct iv_job_entry *job = data;
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job->spec);
   xdr_free ((xdrproc_t)xdr_ivj_progress, (char *)&job->progress);
+  xdr_free ((xdrproc_t)xdr_ivj_crashes, (char *)&job->crashes);
   g_free (job);
 }
 
@@ -121,6 +122,19 @@
   return IV_OK;
 }
 
+static enum iv_status
+apply_crashes (struct iv_job_entry *job, const guint8 *value, gsize len)
+{
+  ivj_crashes crashes = { 0 };
+  enum iv_status status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_crashes, value, len, &crashes);
+  if (status != IV_OK)
+    return status;
+  xdr_free ((xdrproc_t)xdr_ivj_crashes, (char *)&job->crashes);
+  job->crashes = crashes;
+  job->has_crash_record = TRUE;
+  return IV_OK;
+}
+
 static enum iv_status
 apply_move (struct iv_job_entry *job, const guint8 *value, gsize len)
 {
@@ -156,6 +170,8 @@
     status = apply_spec (job, value, len);
   else if (strcmp (suffix, IV_KEY_PROGRESS) == 0)
     status = apply_progress (job, value, len);
+  else if (strcmp (suffix, IV_KEY_CRASHES) == 0)
+    status = apply_crashes (job, value, len);
   else if (strcmp (suffix, IV_KEY_CANCEL) == 0)
     job->cancel = TRUE;
   else if (strcmp (suffix, IV_KEY_MOVE) == 0)
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -2,9 +2,10 @@
  * @file job_table.h
  * Table of all accepted jobs, built by replaying the records of a keyed stream.
  *
- * A job has up to four keys:
+ * A job has up to five keys:
  * - its id: the specification, written by the host that accepted the job;
  * - its id with IV_KEY_PROGRESS: the progress, written only by the owner of its cell;
+ * - its id with IV_KEY_CRASHES: crashes that its tasks are suspected of, written by that owner;
  * - its id with IV_KEY_CANCEL: written by the host that took the cancellation;
  * - its id with IV_KEY_MOVE: the new cell, written by the owner of the cell that the job leaves.
  *
@@ -18,6 +19,7 @@
 #include "task_name.h"
 
 #define IV_KEY_PROGRESS "+p"
+#define IV_KEY_CRASHES "+c"
 #define IV_KEY_CANCEL "+x"
 #define IV_KEY_MOVE "+m"            /**< the cell that runs the job from now on */
 #define IV_KEY_LAYOUT "layout"      /**< assignment of racks to cells */
@@ -36,6 +38,8 @@
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
   ivj_progress progress;     /**< as recorded; this is what callers are told */
+  ivj_crashes crashes;       /**< as recorded */
+  gboolean has_crash_record; /**< the key with IV_KEY_CRASHES exists */
   enum ivj_state live_state; /**< state at the owner; may be newer than the recorded one */
   gint64 live_ended_ms;      /**< wall clock; when `live_state` became final */
   gboolean move_pending;     /**< sent to another cell; the move record is not applied yet */
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -68,6 +68,19 @@
   ivj_step_progress steps<IVJ_STEPS_MAX>;
 };
 
+/* Crashes of workers that a task is suspected of; tasks without any are left out. */
+struct ivj_crash {
+  unsigned occurrence;
+  unsigned step;
+  unsigned index;
+  unsigned crashes;
+  unsigned alone;
+};
+
+struct ivj_crashes {
+  ivj_crash tasks<IVJ_TASKS_MAX>;
+};
+
 enum ivj_state {
   IVJ_QUEUED = 0, IVJ_RUNNING = 1, IVJ_COMPLETED = 2, IVJ_FAILED = 3, IVJ_CANCELLED = 4
 };
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -220,6 +220,80 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ivj_crash (XDR *xdrs, ivj_crash *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->alone))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->occurrence);
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->index);
+			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->alone);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->alone))
+				 return FALSE;
+		} else {
+			objp->occurrence = IXDR_GET_U_LONG(buf);
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->index = IXDR_GET_U_LONG(buf);
+			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->alone = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->alone))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ivj_crashes (XDR *xdrs, ivj_crashes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, IVJ_TASKS_MAX,
+		sizeof (ivj_crash), (xdrproc_t) xdr_ivj_crash))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ivj_state (XDR *xdrs, ivj_state *objp)
 {
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -113,6 +113,23 @@
 };
 typedef struct ivj_occurrence ivj_occurrence;
 
+struct ivj_crash {
+	u_int occurrence;
+	u_int step;
+	u_int index;
+	u_int crashes;
+	u_int alone;
+};
+typedef struct ivj_crash ivj_crash;
+
+struct ivj_crashes {
+	struct {
+		u_int tasks_len;
+		ivj_crash *tasks_val;
+	} tasks;
+};
+typedef struct ivj_crashes ivj_crashes;
+
 enum ivj_state {
 	IVJ_QUEUED = 0,
 	IVJ_RUNNING = 1,
@@ -144,6 +161,8 @@
 extern  bool_t xdr_ivj_failure (XDR *, ivj_failure*);
 extern  bool_t xdr_ivj_step_progress (XDR *, ivj_step_progress*);
 extern  bool_t xdr_ivj_occurrence (XDR *, ivj_occurrence*);
+extern  bool_t xdr_ivj_crash (XDR *, ivj_crash*);
+extern  bool_t xdr_ivj_crashes (XDR *, ivj_crashes*);
 extern  bool_t xdr_ivj_state (XDR *, ivj_state*);
 extern  bool_t xdr_ivj_progress (XDR *, ivj_progress*);
 
@@ -156,6 +175,8 @@
 extern bool_t xdr_ivj_failure ();
 extern bool_t xdr_ivj_step_progress ();
 extern bool_t xdr_ivj_occurrence ();
+extern bool_t xdr_ivj_crash ();
+extern bool_t xdr_ivj_crashes ();
 extern bool_t xdr_ivj_state ();
 extern bool_t xdr_ivj_progress ();
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -130,7 +130,8 @@
       struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
       enum iv_capacity_kind kind = IV_CAPACITY_BATCH;
       if (exec->evacuate_to >= 0 && exec->placed == 0
-          && exec->job->progress.state == exec->job->live_state)
+          && exec->job->progress.state == exec->job->live_state
+          && exec->crash_batch <= owner->stored_batch)
         move_to_cell (owner, exec, (guint)exec->evacuate_to);
       else if (exec->evacuate_to < 0 && exec->started)
         evacuate_if_unplaced (owner, exec, now_ms);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -459,6 +459,7 @@
   if (!owner->previous_runs_known && are_previous_runs_known (owner, now_ms))
     {
       owner->previous_runs_known = TRUE;
+      iv_crash_previous_runs_known (owner);
       owner->needs_dispatch = TRUE;
       iv_histogram_add (iv_histogram_get ("ibisvane_settle_ms",
                                           "From owning a cell to starting everything in it."),
@@ -467,6 +468,7 @@
                 "term=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT, owner->term,
                 now_ms - owner->owned_since_ms);
     }
+  iv_crash_give_up (owner, now_ms);
   for (guint i = 0; i < owner->execs->len; i++)
     owner->needs_dispatch |= iv_job_exec_open_due (g_ptr_array_index (owner->execs, i), wall_ms);
   /* A delayed start must expire before the state of the failure domains that it relied on is too
@@ -528,11 +530,18 @@
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
 }
 
+GByteArray *
+iv_owner_encode_crashes (const struct iv_job_entry *job)
+{
+  return job->exec ? iv_job_exec_encode_crashes (job->exec) : NULL;
+}
+
 void
 iv_owner_records_stored (struct iv_owner *owner, guint64 batch)
 {
   GHashTableIter iter;
   gpointer value;
+  owner->stored_batch = MAX (owner->stored_batch, batch);
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -248,6 +248,10 @@
 /** Progress record of a collected job. NULL when it is too large. */
 GByteArray *iv_owner_encode_progress (const struct iv_job_entry *job);
 
+/** Record of the crashes that tasks of a collected job are suspected of, to be stored with its
+ *  progress record. NULL: there is none. */
+GByteArray *iv_owner_encode_crashes (const struct iv_job_entry *job);
+
 /** The record of @a job was not stored: collect it again. */
 void iv_owner_requeue_record (struct iv_owner *owner, struct iv_job_entry *job);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -52,6 +52,8 @@
   gint64 next_advice_ms; /**< no advice query before */
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
   GPtrArray *unrecorded; /**< of struct iv_job_entry: progress to be recorded */
+  gboolean hopeless;     /**< a job is to be given up in the next tick */
+  guint64 stored_batch;  /**< newest collection that was stored */
   guint64 batch;         /**< number of the newest collection of progress records */
 };
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -240,6 +240,8 @@
       return;
     }
   task->run = MAX (task->run, end->number);
+  if (end->reason == IV_END_FAILED)
+    iv_crash_clear (owner, exec, task, &end->name);
   if (was_known)
     iv_owner_requeue_task (owner, &end->name, end->checkpoint, TRUE);
   if (end->reason == IV_END_FAILED)
@@ -271,6 +273,7 @@
   task->state = IV_JOB_TASK_PLACED;
   task->run = listed->number;
   task->runs_known = TRUE;
+  iv_crash_run_started (run, task);
   stage->placed++;
   exec->placed++;
   exec->started = TRUE;
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,4 +1,5 @@
 #include "advice.h"
+#include "crash.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -86,6 +87,8 @@
     value += SCORE_DATA_LOCAL;
   if (task->avoid_worker == worker->handle)
     value += SCORE_AVOID;
+  if (task->crashes > 0)
+    value += iv_crash_score (worker);
   if (step->target_ms > 0)
     value += image_affinity (worker, query->workload);
   return value;
@@ -112,6 +115,7 @@
 iv_place_task (const struct iv_placement_query *query, const struct iv_job_task *task)
 {
   struct iv_fleet_worker *best = NULL;
+  struct iv_fleet_worker *busy = NULL; /* the best that would do without its newest runs */
   gint64 best_score = 0;
   gboolean best_effort = (query->stage->step->flags & IVJ_BEST_EFFORT) != 0;
   GHashTableIter iter;
@@ -122,6 +126,11 @@
       gint64 points;
       if (!is_usable (value, query))
         continue;
+      if (!iv_crash_admits (value, task, query->now_ms))
+        {
+          busy = iv_crash_better_busy (busy, value, task, query->now_ms);
+          continue;
+        }
       points = score (value, query, task);
       if ((best && points <= best_score)
           || (best_effort && !score_best_effort (value, query, &points)))
@@ -132,5 +141,7 @@
           best_score = points;
         }
     }
+  if (best == NULL && busy)
+    iv_crash_reserve (query->owner, busy, task, query->now_ms);
   return best;
 }
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -450,6 +450,18 @@
     }
 }
 
+static void
+store_record (struct sim *sim, const struct iv_job_entry *job, const char *suffix,
+              GByteArray *bytes)
+{
+  char key[IV_JOB_ID_LEN + 8];
+  if (bytes == NULL)
+    return;
+  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
+  iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
+}
+
 static void
 store_progress (struct sim *sim)
 {
@@ -461,11 +473,8 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      GByteArray *bytes = iv_owner_encode_progress (job);
-      char key[IV_JOB_ID_LEN + 8];
-      g_snprintf (key, sizeof key, "%s" IV_KEY_PROGRESS, job->id);
-      iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
-      g_byte_array_free (bytes, TRUE);
+      store_record (sim, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
+      store_record (sim, job, IV_KEY_PROGRESS, iv_owner_encode_progress (job));
     }
   iv_owner_records_stored (sim->owner, batch);
   g_ptr_array_free (jobs, TRUE);
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -94,12 +94,22 @@
 static void
 test_nothing_starts_beside_a_suspect (void **state)
 {
-  struct sim *sim = cell_with_deadly (4, 1, 24, is_first_task);
-  sim->crash_after_ms = 200;
+  struct sim *sim = cell_with_deadly (2, 1, 0, is_first_task);
+  sim->crash_after_ms = 400;
   sim_submit (sim, JOB_ID, &sim_spec);
-  sim_advance (sim, 60000);
-  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  for (guint i = 0; i < 1000 && most_starts (sim) < 2; i++)
+    sim_advance (sim, 10);
+  assert_int_equal (most_starts (sim), 2);
+  sim_make_job (12, 0);
+  sim_steps[0].cpu_milli = 500;
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  assert_int_equal (sim->beside_suspect, 0);
+  assert_int_equal (sim_total_runs (sim), 1 + 8);
+  sim_advance (sim, 40000);
   assert_int_equal (sim->beside_suspect, 0);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_int_equal (sim_job_state (sim, OTHER_JOB_ID), IVJ_COMPLETED);
   sim_free (sim);
 }
 
@@ -218,13 +228,11 @@
   sim_free (sim);
 }
 
-/* A rack that loses power accuses none of the tasks that had just started there. */
+/* Crashes every worker for which @a is_lost holds as soon as all eight tasks have just started,
+   four times. The others go on. */
 static void
-test_loss_of_a_rack_accuses_nobody (void **state)
+lose_workers_again (struct sim *sim, gboolean (*is_lost) (const struct sim_worker *worker))
 {
-  struct sim *sim = cell_with_deadly (8, 8, 0, NULL);
-  for (guint i = 0; i < sim->count; i++)
-    g_strlcpy (sim->workers[i].rack, "r0", sizeof sim->workers[i].rack);
   sim_start_owner (sim);
   sim->run_ms = 0;
   sim_steps[0].cpu_milli = 3000;
@@ -235,13 +243,84 @@
         sim_advance (sim, 10);
       assert_int_equal (sim_total_runs (sim), 8);
       for (guint i = 0; i < sim->count; i++)
-        sim_crash_worker (sim, i);
+        if (is_lost (&sim->workers[i]))
+          sim_crash_worker (sim, i);
     }
   sim_advance (sim, 8000);
   assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
   sim_end_all_runs (sim, IV_END_DONE);
   sim_advance (sim, 1000);
   assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+}
+
+static gboolean
+is_in_first_rack (const struct sim_worker *worker)
+{
+  return strcmp (worker->rack, "r0") == 0;
+}
+
+static gboolean
+is_in_domain_a (const struct sim_worker *worker)
+{
+  return strcmp (worker->domain, "a") == 0;
+}
+
+/* A rack that loses power accuses none of the tasks that had just started there. */
+static void
+test_loss_of_a_rack_accuses_nobody (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 8, 0, NULL);
+  for (guint i = 0; i < 4; i++)
+    g_strlcpy (sim->workers[i].rack, "r0", sizeof sim->workers[i].rack);
+  lose_workers_again (sim, is_in_first_rack);
+  sim_free (sim);
+}
+
+/* Nor does a failure domain, whose racks may be small. */
+static void
+test_loss_of_a_domain_accuses_nobody (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 8, 0, NULL);
+  lose_workers_again (sim, is_in_domain_a);
+  sim_free (sim);
+}
+
+/* Crashes the workers that hold a run of step 0 that started less than 50 ms ago. */
+static void
+crash_newest (struct sim *sim)
+{
+  for (guint i = 0; i < sim->count; i++)
+    for (guint j = 0; j < sim->workers[i].runs->len; j++)
+      {
+        const struct sim_run *run = &g_array_index (sim->workers[i].runs, struct sim_run, j);
+        if (sim->now_ms >= run->started_ms + 50)
+          continue;
+        sim_crash_worker (sim, i);
+        break;
+      }
+}
+
+/* A harmless task that was beside a crash, and then alone on a worker that crashed for another
+   cause, can still be done. */
+static void
+test_crash_in_company_is_no_proof (void **state)
+{
+  struct sim *sim = cell_with_deadly (4, 2, 0, NULL);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint round = 0; round < 2; round++)
+    {
+      for (guint i = 0; i < 1000 && sim_total_runs (sim) < 2; i++)
+        sim_advance (sim, 10);
+      assert_int_equal (sim_total_runs (sim), 2);
+      crash_newest (sim);
+      assert_int_equal (sim_total_runs (sim), 0);
+    }
+  sim_advance (sim, 8000);
+  assert_int_equal (sim_total_runs (sim), 2);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
   sim_free (sim);
 }
 
@@ -284,7 +363,9 @@
     cmocka_unit_test (test_deadly_long_running_task_is_given_up),
     cmocka_unit_test (test_deadly_member_of_a_gang_is_given_up),
     cmocka_unit_test (test_crashes_of_other_causes_are_forgiven),
+    cmocka_unit_test (test_crash_in_company_is_no_proof),
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
+    cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
     cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
