--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -13,7 +13,7 @@
 /* A task is to blame when it was the only suspect twice; when it was the last time, of three; or
    after so many crashes in any company. */
 #define ALONE_MAX 2
-#define CRASHES_LAST_ALONE 2
+#define CRASHES_LAST_ALONE 3
 #define CRASHES_MAX 4
 /* Time for the newest runs on a worker to prove harmless, with a list between. */
 #define RESERVE_MS (2 * PROBATION_MS + 200)
