Two seen crashes before a job is given up

Cause: three counts with the last alone could hold one crash and two leases that ran out on silent workers; the users allow `failed` after two crashes. Change: a count of crashes with proof that the worker ended; two are needed, and one for the bound of four, whose others a new owner may have missed. The stored count wakes dispatch.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -11,9 +11,11 @@
 #define TOGETHER_MIN 2 /* other workers that must have ended with one for a common cause */
 
 /* A task is to blame when it was the only suspect twice; when it was the last time, of three; or
-   after so many crashes in any company. */
+   after so many crashes in any company. Callers are told `failed` only after two crashes that were
+   seen; a task may have crashed others unseen, between two owners. */
 #define ALONE_MAX 2
 #define CRASHES_LAST_ALONE 3
+#define SEEN_MIN 2
 #define CRASHES_MAX 4
 /* Time for the newest runs on a worker to prove harmless, with a list between. */
 #define RESERVE_MS (2 * PROBATION_MS + 200)
@@ -37,9 +39,11 @@
 {
   if (task->crashes == 0)
     return;
-  iv_event (IV_LEVEL_INFO, "task.cleared", "task=%s.%u.%u.%u crashes=%u alone=%u", name->job,
-            name->occurrence, name->step, name->index, task->crashes, task->crashes_alone);
+  iv_event (IV_LEVEL_INFO, "task.cleared", "task=%s.%u.%u.%u crashes=%u seen=%u alone=%u",
+            name->job, name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone);
   task->crashes = 0;
+  task->crashes_seen = 0;
   task->crashes_alone = 0;
   exec->needs_record = TRUE;
   iv_owner_queue_record (owner, exec);
@@ -160,6 +164,7 @@
 {
   exec->has_crashes = TRUE;
   exec->crash_batch = owner->batch + 1;
+  owner->crash_batch = exec->crash_batch;
   exec->needs_record = TRUE;
   iv_owner_queue_record (owner, exec);
 }
@@ -167,8 +172,9 @@
 static gboolean
 is_to_blame (const struct iv_job_task *task, gboolean alone)
 {
-  return task->crashes_alone >= ALONE_MAX || (alone && task->crashes >= CRASHES_LAST_ALONE)
-         || task->crashes >= CRASHES_MAX;
+  return task->crashes_alone >= ALONE_MAX
+         || (alone && task->crashes >= CRASHES_LAST_ALONE && task->crashes_seen >= SEEN_MIN)
+         || (task->crashes >= CRASHES_MAX && task->crashes_seen > 0);
 }
 
 static void
@@ -180,14 +186,16 @@
   exec->hopeless = TRUE;
   owner->hopeless = TRUE;
   iv_event (IV_LEVEL_WARNING, "job.given_up",
-            "job=%s task=%s.%u.%u.%u crashes=%u alone=%u last_alone=%d", name->job, name->job,
-            name->occurrence, name->step, name->index, task->crashes, task->crashes_alone, alone);
+            "job=%s task=%s.%u.%u.%u crashes=%u seen=%u alone=%u last_alone=%d", name->job,
+            name->job, name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone, alone);
 }
 
-/* Counts the end of its worker against the task of @a run. @a alone: no other run may be to
-   blame. */
+/* Counts the end of its worker against the task of @a run. @a seen: the worker is proven to have
+   ended. @a alone: no other run may be to blame. */
 static void
-accuse (struct iv_owner *owner, struct iv_run *run, gboolean alone, const char *evidence)
+accuse (struct iv_owner *owner, struct iv_run *run, gboolean seen, gboolean alone,
+        const char *evidence)
 {
   const struct iv_task_name *name = &run->name;
   struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
@@ -196,12 +204,14 @@
   if (task == NULL || task->state == IV_JOB_TASK_DONE)
     return;
   task->crashes++;
+  task->crashes_seen += seen ? 1 : 0;
   task->crashes_alone += alone ? 1 : 0;
   record_crash (owner, exec);
   iv_event (IV_LEVEL_INFO, "task.suspected",
-            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s evidence=%s crashes=%u alone=%u",
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT
+            " worker=%s evidence=%s crashes=%u seen=%u alone=%u",
             name->job, name->occurrence, name->step, name->index, run->number, run->worker->id,
-            evidence, task->crashes, task->crashes_alone);
+            evidence, task->crashes, task->crashes_seen, task->crashes_alone);
   judge (owner, exec, task, name, alone);
 }
 
@@ -213,7 +223,7 @@
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
       if (!run->proven && !run->accused)
-        accuse (owner, run, alone, evidence);
+        accuse (owner, run, TRUE, alone, evidence);
     }
 }
 
@@ -226,8 +236,9 @@
   task->crashes++;
   record_crash (owner, exec);
   iv_event (IV_LEVEL_INFO, "task.suspected",
-            "task=%s.%u.%u.%u evidence=inherited crashes=%u alone=%u", name->job, name->occurrence,
-            name->step, name->index, task->crashes, task->crashes_alone);
+            "task=%s.%u.%u.%u evidence=inherited crashes=%u seen=%u alone=%u", name->job,
+            name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone);
   judge (owner, exec, task, name, FALSE);
 }
 
@@ -365,5 +376,5 @@
   const struct iv_fleet_worker *worker = run->worker;
   log_lost_run (run, worker->listed ? "silent" : "silent_unlisted");
   if (!worker->listed && !run->proven && !run->accused && outer_cause (owner, worker) == NULL)
-    accuse (owner, run, FALSE, "silent_unlisted");
+    accuse (owner, run, FALSE, FALSE, "silent_unlisted");
 }
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -105,6 +105,7 @@
       if (task == NULL || task->state == IV_JOB_TASK_DONE)
         continue;
       task->crashes = crash->crashes;
+      task->crashes_seen = crash->seen;
       task->crashes_alone = crash->alone;
       exec->has_crashes = TRUE;
     }
@@ -331,7 +332,8 @@
   for (guint i = 0; i < stage->step->count; i++)
     {
       const struct iv_job_task *task = &stage->tasks[i];
-      ivj_crash row = { occurrence->number, stage->number, i, task->crashes, task->crashes_alone };
+      ivj_crash row = { occurrence->number, stage->number,      i,
+                        task->crashes,      task->crashes_seen, task->crashes_alone };
       if (task->crashes > 0 && task->state != IV_JOB_TASK_DONE)
         g_array_append_val (rows, row);
     }
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -227,7 +227,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -237,6 +237,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->crashes))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->seen))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->alone))
 				 return FALSE;
 		} else {
@@ -244,11 +246,12 @@
 			IXDR_PUT_U_LONG(buf, objp->step);
 			IXDR_PUT_U_LONG(buf, objp->index);
 			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->seen);
 			IXDR_PUT_U_LONG(buf, objp->alone);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -258,6 +261,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->crashes))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->seen))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->alone))
 				 return FALSE;
 		} else {
@@ -265,6 +270,7 @@
 			objp->step = IXDR_GET_U_LONG(buf);
 			objp->index = IXDR_GET_U_LONG(buf);
 			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->seen = IXDR_GET_U_LONG(buf);
 			objp->alone = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
@@ -278,6 +284,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->crashes))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seen))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->alone))
 		 return FALSE;
 	return TRUE;
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -118,6 +118,7 @@
 	u_int step;
 	u_int index;
 	u_int crashes;
+	u_int seen;
 	u_int alone;
 };
 typedef struct ivj_crash ivj_crash;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -541,6 +541,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  owner->needs_dispatch |= owner->stored_batch < owner->crash_batch;
   owner->stored_batch = MAX (owner->stored_batch, batch);
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -53,6 +53,7 @@
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
   GPtrArray *unrecorded; /**< of struct iv_job_entry: progress to be recorded */
   gboolean hopeless;     /**< a job is to be given up in the next tick */
+  guint64 crash_batch;   /**< collection that records the newest crash */
   guint64 stored_batch;  /**< newest collection that was stored */
   guint64 batch;         /**< number of the newest collection of progress records */
 };
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -324,6 +324,38 @@
   sim_free (sim);
 }
 
+/* Silence is no crash: a task whose leases ran out twice on workers that were cut off, and whose
+   third worker crashed, has seen one crash only. */
+static void
+test_silence_is_no_crash (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, NULL);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  for (guint round = 0; round < 3; round++)
+    {
+      for (guint i = 0; i < 2000 && sim_total_runs (sim) == 0; i++)
+        sim_advance (sim, 10);
+      assert_int_equal (sim_total_runs (sim), 1);
+      for (guint i = 0; i < sim->count; i++)
+        if (sim->workers[i].runs->len > 0 && round < 2)
+          {
+            sim->workers[i].unreachable = TRUE;
+            iv_owner_worker_unlisted (sim->owner, sim->workers[i].id, sim->now_ms);
+          }
+        else if (sim->workers[i].runs->len > 0)
+          sim_crash_worker (sim, i);
+      for (guint i = 0; i < 1000 && sim_total_runs (sim) > 0; i++)
+        sim_advance (sim, 10);
+    }
+  sim_advance (sim, 8000);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
 /* A worker that drains and ends takes its runs with it in order. */
 static void
 test_worker_that_leaves_accuses_nobody (void **state)
@@ -366,6 +398,7 @@
     cmocka_unit_test (test_crash_in_company_is_no_proof),
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
+    cmocka_unit_test (test_silence_is_no_crash),
     cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
