Wait for no worker that was replaced and left the list

Change: a worker is not awaited once another instance has answered at its address and the platform lists it no more; a listed one is awaited as before.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -57,6 +57,7 @@
   worker->fenced = FALSE;
   worker->left_in_order = worker->draining;
   worker->instance_alive_since_ms = 0;
+  worker->replaced = FALSE;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
   worker->lease_end_clock_ms = 0;
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -98,6 +98,7 @@
   gint64 alive_ms;          /**< when its newest reply came; kept when it restarts */
   gint64 ended_alive_ms;    /**< `alive_ms` of the instance that ended last; 0: none has */
   gint64 instance_alive_since_ms; /**< first reply of its present instance; 0: none yet */
+  gboolean replaced;              /**< another instance has answered at its address */
   gboolean left_in_order;         /**< its previous instance was draining when it ended */
   gboolean listed;                /**< the platform lists it */
   gboolean draining;              /**< it accepts no new runs */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -79,11 +79,11 @@
 }
 
 /* Whether runs of a previous owner may exist on a worker that has not replied yet. A worker that
-   drained and left the list has ended all its runs. */
+   drained or was replaced, and left the list, has ended all its runs. */
 static gboolean
 is_awaited (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  if (worker->fenced || (worker->draining && !worker->listed))
+  if (worker->fenced || (!worker->listed && (worker->draining || worker->replaced)))
     return FALSE;
   return !owner->handed_over || g_hash_table_contains (owner->unresolved, worker->id);
 }
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -416,6 +416,7 @@
     return;
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
+  worker->replaced |= outcome == IV_COMMAND_WRONG_INSTANCE;
   if (outcome == IV_COMMAND_WRONG_INSTANCE)
     iv_owner_drop_runs (owner, worker, "another_answers");
   if (reply == NULL || outcome != IV_COMMAND_OK)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -261,7 +261,7 @@
   struct sim_worker *worker = &sim->workers[call->worker];
   call->done = TRUE;
   call->clock = worker->clock;
-  if (call->kind != CALL_POLL && call->start_time_ms != worker->start_time_ms)
+  if (worker->replaced || (call->kind != CALL_POLL && call->start_time_ms != worker->start_time_ms))
     {
       call->outcome = IV_COMMAND_WRONG_INSTANCE;
       call->clock = 0;
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -38,6 +38,7 @@
   gint64 capacity_milli;
   gboolean unreachable;    /**< no call reaches it */
   gboolean drops_replies;  /**< calls reach it, their replies are lost */
+  gboolean replaced;       /**< an instance of another worker answers at its address */
   gboolean refuses_starts; /**< starts are refused for lack of capacity */
   gboolean draining;
   gint64 start_delay_ms;  /**< starts are carried out this much later */
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -117,6 +117,47 @@
   sim_free (sim);
 }
 
+/* Replaces the worker that runs the only task by another one, then takes over. */
+static struct sim *
+take_over_after_replacement (void)
+{
+  struct sim *sim = sim_new (4);
+  own_with_one_task (sim);
+  sim_advance (sim, 100);
+  for (guint i = 0; i < sim->count; i++)
+    {
+      sim->workers[i].replaced = sim->workers[i].runs->len > 0;
+      g_array_set_size (sim->workers[i].runs, 0);
+    }
+  sim_start_owner (sim);
+  return sim;
+}
+
+/* A worker that crashed comes back under another id. Waiting for the old one kept every inherited
+   task back for the horizon after a takeover. */
+static void
+test_new_owner_ignores_replaced_unlisted_workers (void **state)
+{
+  struct sim *sim = take_over_after_replacement ();
+  for (guint i = 0; i < sim->count; i++)
+    if (sim->workers[i].replaced)
+      iv_owner_worker_unlisted (sim->owner, sim->workers[i].id, sim->now_ms);
+  sim_advance (sim, 300);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
+/* While the platform lists a worker, the entry that was read may be of an earlier instance, and the
+   one that answers may have runs. */
+static void
+test_new_owner_waits_for_replaced_listed_workers (void **state)
+{
+  struct sim *sim = take_over_after_replacement ();
+  sim_advance (sim, 1000);
+  assert_int_equal (sim->start_calls, 1);
+  sim_free (sim);
+}
+
 /* A worker that drained and left the list has no runs. Long-running tasks must not wait for it, as
    they did with seed 358137797502 of the mixed workload. */
 static void
@@ -641,6 +682,8 @@
     cmocka_unit_test (test_new_owner_waits_for_silent_workers),
     cmocka_unit_test (test_new_owner_waits_for_recently_unlisted_workers),
     cmocka_unit_test (test_new_owner_ignores_drained_unlisted_workers),
+    cmocka_unit_test (test_new_owner_ignores_replaced_unlisted_workers),
+    cmocka_unit_test (test_new_owner_waits_for_replaced_listed_workers),
     cmocka_unit_test (test_handover_limits_waiting_to_unresolved_workers),
     cmocka_unit_test (test_new_jobs_start_despite_silent_workers),
     cmocka_unit_test (test_unconfirmed_owner_does_not_requeue_expired_runs),
