Count a start without an answer as seen only alone

Change: a crash is seen when the run was confirmed or listed, or was the only suspect. Two seen crashes are needed for three or four counts; at five counts one is enough, as a sixth start would break BUDGET.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -10,13 +10,14 @@
 #define TOGETHER_MS 700
 #define TOGETHER_MIN 2 /* other workers that must have ended with one for a common cause */
 
-/* A task is to blame when it was the only suspect twice; when it was the last time, of three; or
-   after so many crashes in any company. Callers are told `failed` only after two crashes that were
-   seen; a task may have crashed others unseen, between two owners. */
+/* A task is to blame when it was the only suspect twice; when it was the last time, of three, or
+   after four in any company, of which two must have been seen; or after five of which one was.
+   Callers may be told `failed` after two crashes, and there must be no sixth start. */
 #define ALONE_MAX 2
 #define CRASHES_LAST_ALONE 3
 #define SEEN_MIN 2
 #define CRASHES_MAX 4
+#define STARTS_MAX 5
 /* Time for the newest runs on a worker to prove harmless, with a list between. */
 #define RESERVE_MS (2 * PROBATION_MS + 200)
 /* Score of a long-running task or a gang member that would be lost, in thousandths of a core. */
@@ -172,9 +173,11 @@
 static gboolean
 is_to_blame (const struct iv_job_task *task, gboolean alone)
 {
-  return task->crashes_alone >= ALONE_MAX
-         || (alone && task->crashes >= CRASHES_LAST_ALONE && task->crashes_seen >= SEEN_MIN)
-         || (task->crashes >= CRASHES_MAX && task->crashes_seen > 0);
+  guint bound = alone ? CRASHES_LAST_ALONE : CRASHES_MAX;
+  if (task->crashes_alone >= ALONE_MAX)
+    return TRUE;
+  return task->crashes >= (task->crashes_seen >= SEEN_MIN ? bound : STARTS_MAX)
+         && task->crashes_seen > 0;
 }
 
 static void
@@ -191,8 +194,8 @@
             task->crashes_alone, alone);
 }
 
-/* Counts the end of its worker against the task of @a run. @a seen: the worker is proven to have
-   ended. @a alone: no other run may be to blame. */
+/* Counts the end of its worker against the task of @a run. @a seen: it had started there, and the
+   worker is proven to have ended. @a alone: no other run may be to blame. */
 static void
 accuse (struct iv_owner *owner, struct iv_run *run, gboolean seen, gboolean alone,
         const char *evidence)
@@ -215,6 +218,13 @@
   judge (owner, exec, task, name, alone);
 }
 
+/* A start without an answer may not have arrived. */
+static gboolean
+has_started (const struct iv_run *run)
+{
+  return run->phase == IV_RUN_PHASE_RUNNING || run->first_clock_ms > 0;
+}
+
 static void
 accuse_unproven (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *evidence)
 {
@@ -223,7 +233,7 @@
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
       if (!run->proven && !run->accused)
-        accuse (owner, run, TRUE, alone, evidence);
+        accuse (owner, run, alone || has_started (run), alone, evidence);
     }
 }
 
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -25,7 +25,7 @@
   guint failures;       /**< failed runs, each counted once */
   gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
   guint crashes;        /**< crashes that it is suspected of since it last survived a start */
-  guint crashes_seen;   /**< those of them whose workers are proven to have ended */
+  guint crashes_seen;   /**< those of them that it was seen to have started before */
   guint crashes_alone;  /**< those in which it was the only suspect, too */
   guint32 avoid_worker; /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;  /**< no run of it can exist that this owner does not know of */
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -68,8 +68,8 @@
   ivj_step_progress steps<IVJ_STEPS_MAX>;
 };
 
-/* Crashes of workers that a task is suspected of, those of them with proof that the worker ended,
-   and those in which it was the only suspect; tasks without any are left out. */
+/* Crashes of workers that a task is suspected of, those of them before which it was seen to have
+   started, and those in which it was the only suspect; tasks without any are left out. */
 struct ivj_crash {
   unsigned occurrence;
   unsigned step;
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -209,7 +209,7 @@
   struct sim *sim = cell_with_deadly (8, 1, 0, NULL);
   sim->run_ms = 0;
   sim_submit (sim, JOB_ID, &sim_spec);
-  for (guint round = 0; round < 8; round++)
+  for (guint round = 0; round < 16; round++)
     {
       /* In turn right after the start, and after the run has lasted. */
       for (guint i = 0; i < 1000 && sim_total_runs (sim) == 0; i++)
@@ -356,6 +356,34 @@
   sim_free (sim);
 }
 
+/* A start that never arrived on a worker that crashed, and a takeover, are no crashes under a task:
+   callers were told `failed` after the only one that was. */
+static void
+test_start_that_never_arrived_is_no_crash (void **state)
+{
+  struct sim *sim = cell_with_deadly (1, 2, 0, is_first_task);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim->workers[0].unreachable = TRUE;
+  sim_advance (sim, 100);
+  sim_crash_worker (sim, 0);
+  sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+  sim_advance (sim, SIM_DOWN_MS + 200);
+  sim_start_owner (sim);
+  sim_advance (sim, 300);
+  assert_int_equal (most_starts (sim), 0);
+  sim->evidence_age_ms = 0;
+  for (guint i = 0; i < 1000 && most_starts (sim) == 0; i++)
+    sim_advance (sim, 10);
+  sim_advance (sim, SIM_DOWN_MS + 20);
+  assert_int_equal (most_starts (sim), 1);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+  sim_advance (sim, 20000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
 /* A worker that drains and ends takes its runs with it in order. */
 static void
 test_worker_that_leaves_accuses_nobody (void **state)
@@ -399,6 +427,7 @@
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
     cmocka_unit_test (test_silence_is_no_crash),
+    cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
     cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
