--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -59,6 +59,9 @@
   worker->roster_state = IV_ROSTER_ABSENT; /* its address may have changed */
   worker->entry_clock_ms = 0;
   worker->fenced = FALSE;
+  worker->left_in_order = worker->draining;
+  worker->instance_alive_since_ms = 0;
+  worker->replaced = FALSE;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
   worker->lease_end_clock_ms = 0;
@@ -189,6 +192,7 @@
 iv_run_remove (struct iv_run *run)
 {
   add_usage (run, -1);
+  run->worker->suspects -= run->suspect ? 1 : 0;
   g_ptr_array_remove_fast (run->worker->runs, run);
   g_free (run);
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -63,8 +63,12 @@
   gint64 acked_clock_ms; /**< when the worker replied to the last start or stop; a list that
                               is not newer does not prove the run absent */
   gint64 stop_sent_ms;
-  gboolean listed;            /**< in a list of the present instance of the worker */
-  guint percent;              /**< progress, as last listed */
+  gboolean listed;       /**< in a list of the present instance of the worker */
+  gint64 first_clock_ms; /**< when the worker first confirmed or listed it; 0: it has not */
+  gboolean suspect;      /**< its task is suspected of crashes and has not survived this start */
+  gboolean accused;      /**< the end of its worker was counted against its task */
+  gboolean proven;       /**< the worker has survived its start: see crash.h */
+  guint percent;         /**< progress, as last listed */
   gint64 progress_changed_ms; /**< when `percent` last changed */
   gint64 reported_load;   /**< tail latency in ms for a latency-critical task, else cores in use, in
                                thousandths */
@@ -106,9 +110,14 @@
   guint latency_tasks;      /**< number of latency-critical tasks: those with a latency target */
   gint64 latency_cpu_milli; /**< cores declared by latency-critical tasks */
   guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
-  gboolean listed;          /**< the platform lists it */
-  gboolean draining;        /**< it accepts no new runs */
-  gint64 unlisted_ms;       /**< when the platform stopped listing it */
+  gint64 alive_ms;          /**< when its newest reply came; kept when it restarts */
+  gint64 ended_alive_ms;    /**< `alive_ms` of the instance that ended last; 0: none has */
+  gint64 instance_alive_since_ms;    /**< first reply of its present instance; 0: none yet */
+  gboolean replaced;                 /**< another instance has answered at its address */
+  gboolean left_in_order;            /**< its previous instance was draining when it ended */
+  gboolean listed;                   /**< the platform lists it */
+  gboolean draining;                 /**< it accepts no new runs */
+  gint64 unlisted_ms;                /**< when the platform stopped listing it */
   enum iv_roster_state roster_state; /**< in the newest roster... */
   gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
   gboolean drained_with_runs; /**< it was draining in the roster of the previous owner */
@@ -130,6 +139,9 @@
   guint failures; /**< consecutive requests without a reply */
   guint consecutive_failed_runs;
   gint64 quarantined_until_ms; /**< no new runs before this, after failed or refused ones */
+  guint suspects;              /**< runs of tasks under suspicion that may crash it */
+  const void *reserved_for;    /**< task under suspicion that it is kept free for */
+  gint64 reserved_until_ms;    /**< end of that reservation */
   GPtrArray *runs;             /**< of struct iv_run */
   GArray *lost_starts;         /**< of struct iv_lost_start */
 };
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 #include "sharing.h"
@@ -398,6 +399,7 @@
                              worker->fenced
                                  ? iv_worker_clock_min (worker, now_ms) - worker->lease_end_clock_ms
                                  : now_ms - silent_horizon_ms (owner, worker));
+      iv_crash_run_lapsed (owner, run);
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, number, NULL);
     }
@@ -446,6 +448,7 @@
   if (owner->deposed)
     return;
   iv_owner_check_previous_runs (owner, now_ms);
+  iv_crash_give_up (owner, now_ms);
   for (guint i = 0; i < owner->execs->len; i++)
     owner->needs_dispatch |= iv_job_exec_open_due (g_ptr_array_index (owner->execs, i), wall_ms);
   /* A delayed start must expire before the state of the failure domains that it relied on is too
@@ -507,11 +510,19 @@
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
 }
 
+GByteArray *
+iv_owner_encode_crashes (const struct iv_job_entry *job)
+{
+  return job->exec ? iv_job_exec_encode_crashes (job->exec) : NULL;
+}
+
 void
 iv_owner_records_stored (struct iv_owner *owner, guint64 batch)
 {
   GHashTableIter iter;
   gpointer value;
+  owner->needs_dispatch |= owner->stored_batch < owner->crash_batch;
+  owner->stored_batch = MAX (owner->stored_batch, batch);
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "advice.h"
+#include "crash.h"
 #include "event.h"
 #include "sharing.h"
 
@@ -34,6 +35,9 @@
     return;
   worker->sample_clock_ms = clock;
   worker->clock_sampled_at_ms = now_ms;
+  worker->alive_ms = now_ms;
+  if (worker->instance_alive_since_ms == 0)
+    worker->instance_alive_since_ms = now_ms;
 }
 
 static void
@@ -269,6 +273,8 @@
       return;
     }
   task->run = MAX (task->run, end->number);
+  if (end->reason == IV_END_FAILED)
+    iv_crash_clear (owner, exec, task, &end->name);
   if (was_known)
     iv_owner_requeue_task (owner, &end->name, end->number, end->checkpoint);
   if (end->reason == IV_END_FAILED)
@@ -300,6 +306,7 @@
       return;
     }
   task->run = listed->number;
+  iv_crash_run_started (run, task);
 }
 
 static void
@@ -439,6 +446,7 @@
       note_progress (owner, run, listed, reply->start_time_ms == worker->start_time_ms, now_ms);
     }
   drop_absent (owner, worker, reply, now_ms);
+  iv_crash_worker_replied (owner, worker);
   stop_stalled (owner, worker, now_ms);
   iv_sharing_update (owner, worker, now_ms);
 }
@@ -469,8 +477,12 @@
     return;
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
+  worker->replaced |= outcome == IV_COMMAND_WRONG_INSTANCE;
   if (outcome == IV_COMMAND_WRONG_INSTANCE)
-    iv_owner_drop_runs (owner, worker, "another_answers");
+    {
+      iv_crash_worker_ended (owner, worker, "another_answers");
+      iv_owner_drop_runs (owner, worker, "another_answers");
+    }
   if (reply == NULL || outcome != IV_COMMAND_OK)
     {
       worker->failures++;
--- a/jobs/rebirth.c
+++ b/jobs/rebirth.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "crash.h"
 #include "event.h"
 
 #define LATE_START_MAX_MS 15000 /* calls are carried out up to 12 s late, as seen */
@@ -109,7 +110,9 @@
 void
 iv_owner_worker_restarted (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 now_ms)
 {
-  GPtrArray *kept = steal_unlisted (worker);
+  GPtrArray *kept;
+  iv_crash_worker_ended (owner, worker, "reborn");
+  kept = steal_unlisted (worker);
   iv_owner_drop_runs (owner, worker, "reborn");
   for (guint i = 0; i < kept->len; i++)
     {
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -213,10 +213,22 @@
          || used.accelerators > worker->accelerators;
 }
 
+static void
+note_deadly_start (struct sim *sim, struct sim_worker *worker, const struct iv_task_name *name)
+{
+  if (sim->is_deadly == NULL || !sim->is_deadly (name))
+    return;
+  sim->deadly_starts[name->index % SIM_DEADLY_MAX]++;
+  worker->crash_ms = sim->now_ms + sim->crash_after_ms;
+  worker->holds_suspect = sim->deadly_starts[name->index % SIM_DEADLY_MAX] > 1;
+}
+
 static enum iv_command_outcome
 handle_start (struct sim *sim, struct sim_worker *worker, const struct sim_call *call)
 {
-  struct sim_run run = { .name = call->name, .number = call->number, .cpu_limit_percent = 100 };
+  struct sim_run run = {
+    .name = call->name, .number = call->number, .started_ms = sim->now_ms, .cpu_limit_percent = 100
+  };
   if (call->until < worker->clock)
     return IV_COMMAND_EXPIRED;
   if (is_in (worker->ends, call) || is_in (worker->stopped, call))
@@ -242,7 +254,9 @@
         }
       sim->over_capacity++;
     }
+  sim->beside_suspect += worker->holds_suspect;
   g_array_append_val (worker->runs, run);
+  note_deadly_start (sim, worker, &call->name);
   return IV_COMMAND_OK;
 }
 
@@ -298,6 +312,12 @@
   struct sim_worker *worker = &sim->workers[call->worker];
   call->done = TRUE;
   call->clock = worker->clock;
+  if (worker->replaced)
+    {
+      call->outcome = IV_COMMAND_WRONG_INSTANCE;
+      call->clock = 0;
+      return;
+    }
   if (call->term < worker->fence)
     {
       call->outcome = IV_COMMAND_FENCED;
@@ -432,6 +452,54 @@
     }
 }
 
+void
+sim_drain_worker (struct sim *sim, guint i)
+{
+  sim->workers[i].draining = TRUE;
+  sim_list_worker (sim, i);
+}
+
+void
+sim_crash_worker (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  g_array_set_size (worker->runs, 0);
+  worker->crash_ms = 0;
+  worker->holds_suspect = FALSE;
+  worker->next_entry_ms = 0;
+  worker->back_ms = sim->now_ms + SIM_DOWN_MS;
+  worker->unreachable = TRUE;
+}
+
+/* Crashes the worker, or brings it back, when it is time. */
+static void
+advance_crash (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  if (worker->crash_ms > 0 && sim->now_ms >= worker->crash_ms)
+    sim_crash_worker (sim, i);
+  if (worker->back_ms == 0 || sim->now_ms < worker->back_ms)
+    return;
+  worker->back_ms = 0;
+  worker->unreachable = FALSE;
+  sim_restart_worker (sim, i);
+  if (sim->owner)
+    sim_list_worker (sim, i);
+}
+
+/* Ends the runs on @a worker that are done. */
+static void
+end_done_runs (const struct sim *sim, struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; sim->run_ms > 0 && i-- > 0;)
+    {
+      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      if (sim->now_ms >= run->started_ms + sim->run_ms
+          && (sim->is_deadly == NULL || !sim->is_deadly (&run->name)))
+        end_run (worker, i, IV_END_DONE);
+    }
+}
+
 static void
 advance_workers (struct sim *sim)
 {
@@ -446,6 +514,8 @@
         g_array_index (worker->runs, struct sim_run, j).percent = worker->clock / 200 % 100;
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
         end_run (worker, 0, IV_END_LEASE_EXPIRED);
+      end_done_runs (sim, worker);
+      advance_crash (sim, i);
     }
 }
 
@@ -462,6 +532,18 @@
     }
 }
 
+static void
+store_record (struct sim *sim, const struct iv_job_entry *job, const char *suffix,
+              GByteArray *bytes)
+{
+  char key[IV_JOB_ID_LEN + 8];
+  if (bytes == NULL)
+    return;
+  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
+  iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
+}
+
 static void
 store_progress (struct sim *sim)
 {
@@ -473,11 +555,8 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      GByteArray *bytes = iv_owner_encode_progress (job);
-      char key[IV_JOB_ID_LEN + 8];
-      g_snprintf (key, sizeof key, "%s" IV_KEY_PROGRESS, job->id);
-      iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
-      g_byte_array_free (bytes, TRUE);
+      store_record (sim, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
+      store_record (sim, job, IV_KEY_PROGRESS, iv_owner_encode_progress (job));
     }
   iv_owner_records_stored (sim->owner, batch);
   g_ptr_array_free (jobs, TRUE);
@@ -538,6 +617,7 @@
   sim->store_records = TRUE;
   sim->store_rosters = TRUE;
   sim->attempts = 3;
+  sim->crash_after_ms = 10;
   sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
                                           .lease_max_ms = SIM_LEASE_MAX_MS,
                                           .start_ms = 1500,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -12,6 +12,8 @@
 
 #define SIM_WORKERS_MAX 8
 #define SIM_LEASE_MAX_MS 10000 /**< a worker shortens a longer lease to this */
+#define SIM_DEADLY_MAX 8
+#define SIM_DOWN_MS 3000 /**< a worker that crashed is back after this */
 
 /** A run on a simulated worker. */
 struct sim_run
@@ -19,6 +21,7 @@
   struct iv_task_name name;
   gint64 number;
   struct iv_resources resources; /**< that it uses */
+  gint64 started_ms;             /**< in simulated time */
   gint64 percent;                /**< progress */
   gint64 tail_ms;                /**< tail latency that the worker reports for it */
   guint cpu_limit_percent;       /**< CPU limit, percent of full speed */
@@ -44,18 +47,22 @@
   gint64 stop_grace_ms;     /**< a run that is stopped ends this much later */
   gboolean unreachable;     /**< no call reaches it */
   gboolean drops_replies;   /**< calls reach it, their replies are lost */
+  gboolean replaced;        /**< an instance of another worker answers at its address */
   gboolean resets_calls;    /**< connections are reset: calls fail at once */
   gboolean refuses_starts;  /**< starts are refused for lack of capacity */
   gboolean draining;
-  gboolean unlisted;     /**< the platform does not list it: it lost the store, not the owner */
-  gint64 entry_age_ms;   /**< age of its entry when the owner reads it */
-  gint64 next_entry_ms;  /**< when the owner reads its entry next; 0: not by itself */
-  gint64 start_delay_ms; /**< starts are carried out this much later */
-  gint64 stop_delay_ms;  /**< the same for stops */
-  GArray *runs;          /**< of struct sim_run */
-  GArray *ends;          /**< of struct iv_listed_end */
-  gint64 last_end;       /**< sequence number of the newest end */
-  GArray *stopped;       /**< of struct iv_listed_end: stops of runs that were not there */
+  gboolean unlisted;      /**< the platform does not list it: it lost the store, not the owner */
+  gint64 entry_age_ms;    /**< age of its entry when the owner reads it */
+  gint64 next_entry_ms;   /**< when the owner reads its entry next; 0: not by itself */
+  gint64 start_delay_ms;  /**< starts are carried out this much later */
+  gint64 stop_delay_ms;   /**< the same for stops */
+  gint64 crash_ms;        /**< it crashes then, because of a task; 0: it does not */
+  gboolean holds_suspect; /**< a task that has crashed another worker has started on it */
+  gint64 back_ms;         /**< a crashed worker is back then; 0: it is up */
+  GArray *runs;           /**< of struct sim_run */
+  GArray *ends;           /**< of struct iv_listed_end */
+  gint64 last_end;        /**< sequence number of the newest end */
+  GArray *stopped;        /**< of struct iv_listed_end: stops of runs that were not there */
   /** When not 0: starts that are sent now get no reply, and the instance that is there after this
    *  time carries them out. Longer than the timeout of a call. */
   gint64 late_starts_ms;
@@ -91,6 +98,12 @@
   gint64 advice_reply_ms;       /**< when the outstanding advice query gets its reply; 0: none is */
   GPtrArray *advice_worker_ids; /**< of char *: worker ids in that query */
   guint advice_queries;
+  gboolean (*is_deadly) (
+      const struct iv_task_name *name); /**< crashes its worker; NULL: none does */
+  guint deadly_starts[SIM_DEADLY_MAX];  /**< by index of the deadly task */
+  guint beside_suspect;                 /**< starts on a worker that holds such a task */
+  gint64 crash_after_ms;                /**< from the start of a deadly task to the crash */
+  gint64 run_ms;    /**< tasks that are not deadly end as done after this; 0: never */
   guint no_ticket;  /**< starts that were refused for lack of a ticket */
   guint attempts;   /**< failed runs of a task that end its job */
   GPtrArray *calls; /**< of struct sim_call */
@@ -143,6 +156,12 @@
 /** State of a job as recorded. */
 enum ivj_state sim_job_state (const struct sim *sim, const char *id);
 
+/** Let a worker drain, and list it so. */
+void sim_drain_worker (struct sim *sim, guint worker);
+
+/** Crash a worker: it is silent for SIM_DOWN_MS, then back as a new instance. */
+void sim_crash_worker (struct sim *sim, guint worker);
+
 /** Restart a worker: a new instance without runs, ends, fence and lease. The owner reads its entry
  *  a heartbeat later. */
 void sim_restart_worker (struct sim *sim, guint worker);
