Repeat no failed task before earlier failures are known

Callers saw one start more than the queue's attempts (BUDGET), without deadly work. An owner without the store repeats failed tasks and records nothing. Its successor adopted the last run, so that it knew the runs of the task; when that failed it started the task again before the workers with the earlier ends had replied.

Cause: to know the run of a task was taken for knowing its failures. A task that has failed under a new owner now waits until every run of previous owners is known.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -45,6 +45,8 @@
   candidate->class = iv_queue_classify (&candidate->item, now_ms);
 }
 
+/* A task whose runs are known may have failed before, under an owner that could not record it; once
+   it has failed here, one more start may be one too many. */
 static gboolean
 may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
            const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
@@ -52,7 +54,7 @@
   return task->state == IV_JOB_TASK_WAITING && now_ms >= task->not_before_ms
          && iv_crash_may_start (owner, exec, task)
          && (owner->previous_runs_known || !exec->inherited || stage->runs_known
-             || task->runs_known);
+             || (task->runs_known && task->failures == 0));
 }
 
 static void
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -349,6 +349,33 @@
   sim_free (sim);
 }
 
+/* Guards against an attempt too many: the previous owner could not record that the task had failed
+   before, and the worker that knows has not replied to this one. */
+static void
+test_failed_task_waits_for_earlier_failures (void **state)
+{
+  struct sim *sim = run_one_task ();
+  guint first = busy_worker (sim);
+  sim->attempts = 2;
+  sim->store_records = FALSE;
+  sim_end_all_runs (sim, IV_END_FAILED);
+  sim_advance (sim, 300);
+  assert_int_equal (sim->workers[1 - first].runs->len, 1);
+  assert_int_equal (sim->start_calls, 2);
+  sim->workers[first].unreachable = TRUE;
+  sim->store_records = TRUE;
+  sim_start_owner (sim);
+  sim_advance (sim, 300);
+  sim_end_all_runs (sim, IV_END_FAILED);
+  sim_advance (sim, 1000);
+  assert_int_equal (sim->start_calls, 2);
+  sim->workers[first].unreachable = FALSE;
+  sim_advance (sim, 3000);
+  assert_int_equal (sim->start_calls, 2);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -360,6 +387,7 @@
     cmocka_unit_test (test_worker_that_left_without_runs_is_not_waited_for),
     cmocka_unit_test (test_missing_roster_is_waited_out),
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
+    cmocka_unit_test (test_failed_task_waits_for_earlier_failures),
     cmocka_unit_test (test_handover_before_the_list_was_read_shortens_nothing),
     cmocka_unit_test (test_draining_worker_that_is_cut_off_is_waited_for),
     cmocka_unit_test (test_silent_draining_worker_stays_recorded_until_its_lease_ends),
