Count no start without an answer as a crash alone

Change: only a run that was confirmed or listed can be seen or alone; five counts end a job in any case.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -11,8 +11,8 @@
 #define TOGETHER_MIN 2 /* other workers that must have ended with one for a common cause */
 
 /* A task is to blame when it was the only suspect twice; when it was the last time, of three, or
-   after four in any company, of which two must have been seen; or after five of which one was.
-   Callers may be told `failed` after two crashes, and there must be no sixth start. */
+   after four in any company, of which two must have been seen; or after five, seen or not. Callers
+   may be told `failed` after two crashes, and there must be no sixth start. */
 #define ALONE_MAX 2
 #define CRASHES_LAST_ALONE 3
 #define SEEN_MIN 2
@@ -174,10 +174,8 @@
 is_to_blame (const struct iv_job_task *task, gboolean alone)
 {
   guint bound = alone ? CRASHES_LAST_ALONE : CRASHES_MAX;
-  if (task->crashes_alone >= ALONE_MAX)
-    return TRUE;
-  return task->crashes >= (task->crashes_seen >= SEEN_MIN ? bound : STARTS_MAX)
-         && task->crashes_seen > 0;
+  return task->crashes_alone >= ALONE_MAX
+         || task->crashes >= (task->crashes_seen >= SEEN_MIN ? bound : STARTS_MAX);
 }
 
 static void
@@ -218,7 +216,7 @@
   judge (owner, exec, task, name, alone);
 }
 
-/* A start without an answer may not have arrived. */
+/* A start without an answer may not have arrived, or found the worker gone. */
 static gboolean
 has_started (const struct iv_run *run)
 {
@@ -232,8 +230,9 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      gboolean seen = has_started (run);
       if (!run->proven && !run->accused)
-        accuse (owner, run, alone || has_started (run), alone, evidence);
+        accuse (owner, run, seen, alone && seen, evidence);
     }
 }
 
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -384,6 +384,26 @@
   sim_free (sim);
 }
 
+/* The same when nothing else was new on that worker: it may have gone before the start arrived. */
+static void
+test_start_to_a_worker_that_had_gone_is_no_crash (void **state)
+{
+  struct sim *sim = cell_with_deadly (1, 1, 0, is_first_task);
+  sim->run_ms = 0;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_crash_worker (sim, 0);
+  for (guint i = 0; i < 1000 && most_starts (sim) == 0; i++)
+    sim_advance (sim, 10);
+  assert_int_equal (sim->start_calls, 2);
+  sim_advance (sim, SIM_DOWN_MS + 20);
+  assert_int_equal (most_starts (sim), 1);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+  sim_advance (sim, 20000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+  assert_in_range (most_starts (sim), 2, STARTS_MAX);
+  sim_free (sim);
+}
+
 /* A worker that drains and ends takes its runs with it in order. */
 static void
 test_worker_that_leaves_accuses_nobody (void **state)
@@ -428,6 +448,7 @@
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
     cmocka_unit_test (test_silence_is_no_crash),
     cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
+    cmocka_unit_test (test_start_to_a_worker_that_had_gone_is_no_crash),
     cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
