Wait for the horizon once, and only for workers with a roster entry

Cause: a worker that has not replied was counted as one with runs even when the horizon had passed, and even if nothing was ever started on it.

Once its previous runs are known an owner awaits nobody. The roster names a worker after its first reply, before its first start, so the next owner waits only for workers in it.

--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -120,7 +120,8 @@
   gint64 unlisted_ms;                /**< when the platform stopped listing it */
   enum iv_roster_state roster_state; /**< in the newest roster... */
   gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
-  gboolean drained_with_runs; /**< it was draining in the roster of the previous owner */
+  gboolean inherited;         /**< it was in the roster of the previous owner... */
+  gboolean drained_with_runs; /**< ...as draining */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
   gboolean restarted;         /**< this owner knew an instance before the present one */
   gboolean fenced;            /**< it has replied under the term of this owner */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -47,6 +47,7 @@
   GHashTable *unresolved;       /**< set of worker ids */
   gboolean previous_runs_known; /**< every run of a previous owner is known */
   gboolean workers_loaded;
+  gboolean roster_known;   /**< the roster of the previous owner was loaded */
   gboolean roster_missing; /**< there was a previous owner, but no roster that can be read */
   gboolean roster_pending; /**< a roster is being stored */
   gboolean roster_failed;  /**< the newest roster was not stored */
--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -4,18 +4,19 @@
 #include "event.h"
 #include "histogram.h"
 
-/* Whether runs of a previous owner may exist on a worker that has not replied yet. None do where
-   another instance answers at the worker's address. A worker that
+/* Whether runs of a previous owner may exist on a worker that has not replied yet: its roster names
+   each that has any. None do where another instance answers at the worker's address. A worker that
    drained and left the list has ended all its runs, but it may also have lost the store: what the
    previous owner reported of it counts more. */
 static gboolean
 is_awaited (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  if (worker->fenced || (worker->replaced && !worker->listed))
+  if (worker->fenced || owner->previous_runs_known || (worker->replaced && !worker->listed))
     return FALSE;
   if (owner->handed_over)
     return g_hash_table_contains (owner->unresolved, worker->id);
-  return worker->listed || !worker->draining || worker->drained_with_runs;
+  return (worker->inherited || !owner->roster_known)
+         && (worker->listed || !worker->draining || worker->drained_with_runs);
 }
 
 GPtrArray *
@@ -97,14 +98,15 @@
             owner->roster_loaded, owner->roster_missing, owner->handed_over);
 }
 
-/* A worker belongs in the roster when it has runs, or may get one. */
+/* A worker belongs in the roster when it has runs, or may get one: it must have replied before. */
 static enum iv_roster_state
 roster_state (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  gboolean may_have_runs = worker->runs->len > 0 || is_awaited (owner, worker);
+  gboolean has_predecessor = owner->roster_known || owner->roster_missing;
+  gboolean may_have_runs = worker->runs->len > 0 || (has_predecessor && is_awaited (owner, worker));
   if (worker->draining)
     return may_have_runs ? IV_ROSTER_DRAINING : IV_ROSTER_ABSENT;
-  return worker->listed || may_have_runs ? IV_ROSTER_NAMED : IV_ROSTER_ABSENT;
+  return may_have_runs || (worker->listed && worker->fenced) ? IV_ROSTER_NAMED : IV_ROSTER_ABSENT;
 }
 
 /* The strings of the result belong to @a worker. */
@@ -218,6 +220,7 @@
   worker = iv_fleet_update_worker (owner->fleet, &listed, &restarted);
   worker->listed = FALSE;
   worker->unlisted_ms = now_ms;
+  worker->inherited = TRUE;
   worker->drained_with_runs = row->draining;
   worker->recorded = TRUE;
   g_free (labels);
@@ -238,6 +241,7 @@
       owner->roster_missing = TRUE;
       return;
     }
+  owner->roster_known = TRUE;
   owner->roster_len = roster.workers.workers_len;
   owner->roster_loaded = roster.workers.workers_len;
   for (guint i = 0; i < roster.workers.workers_len; i++)
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -349,6 +349,67 @@
   sim_free (sim);
 }
 
+/* The owner waits for a silent worker for the horizon and starts its task on the other one. */
+static struct sim *
+outwait_silent_worker (gboolean listed)
+{
+  struct sim *sim = run_one_task ();
+  guint busy = busy_worker (sim);
+  sim->workers[busy].unreachable = TRUE;
+  sim->workers[busy].unlisted = !listed;
+  sim_start_owner (sim);
+  sim_advance (sim, sim->limits.horizon_ms + 500);
+  assert_int_equal (sim->start_calls, 2);
+  return sim;
+}
+
+/* Guards against long-running tasks that get no worker: each new owner waited for the horizon for a
+   worker that the previous one had waited for, and so had given up. */
+static void
+test_horizon_is_waited_for_once (void **state)
+{
+  for (guint listed = 0; listed < 2; listed++)
+    for (guint handed_over = 0; handed_over < 2; handed_over++)
+      {
+        struct sim *sim = outwait_silent_worker (listed);
+        GPtrArray *unresolved = iv_owner_unresolved_workers (sim->owner);
+        char *ids[3] = { NULL };
+        assert_int_equal (unresolved->len, 1);
+        ids[0] = g_strdup (g_ptr_array_index (unresolved, 0));
+        sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+        sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+        sim_advance (sim, 300);
+        sim->evidence_age_ms = 0;
+        sim_start_owner (sim);
+        if (handed_over)
+          iv_owner_apply_handover (sim->owner, ids);
+        sim_advance (sim, 300);
+        assert_int_equal (sim->start_calls, 3);
+        g_ptr_array_free (unresolved, TRUE);
+        g_free (ids[0]);
+        sim_free (sim);
+      }
+}
+
+/* Guards against tasks that wait for a silent worker on which nothing was ever started. */
+static void
+test_worker_that_never_replied_is_not_waited_for (void **state)
+{
+  struct sim *sim = sim_new (2);
+  sim->workers[0].unreachable = TRUE;
+  sim_start_owner (sim);
+  sim_advance (sim, 300);
+  sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+  sim_make_job (1, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  sim->evidence_age_ms = 0;
+  sim_start_owner (sim);
+  sim_advance (sim, 300);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
 /* Guards against an attempt too many: the previous owner could not record that the task had failed
    before, and the worker that knows has not replied to this one. */
 static void
@@ -387,6 +448,8 @@
     cmocka_unit_test (test_worker_that_left_without_runs_is_not_waited_for),
     cmocka_unit_test (test_missing_roster_is_waited_out),
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
+    cmocka_unit_test (test_horizon_is_waited_for_once),
+    cmocka_unit_test (test_worker_that_never_replied_is_not_waited_for),
     cmocka_unit_test (test_failed_task_waits_for_earlier_failures),
     cmocka_unit_test (test_handover_before_the_list_was_read_shortens_nothing),
     cmocka_unit_test (test_draining_worker_that_is_cut_off_is_waited_for),
