--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -601,6 +601,18 @@
     }
 }
 
+gboolean
+sim_advance_without_duplicates (struct sim *sim, gint64 ms)
+{
+  for (gint64 i = 0; i < ms; i += TICK_MS)
+    {
+      sim_advance (sim, TICK_MS);
+      if (sim_max_concurrent_runs (sim) > 1)
+        return FALSE;
+    }
+  return TRUE;
+}
+
 struct sim *
 sim_new (guint workers)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -131,6 +131,9 @@
 /** Advance the simulated time by @a ms in small steps. */
 void sim_advance (struct sim *sim, gint64 ms);
 
+/** The same, until a task has two runs at once: FALSE. */
+gboolean sim_advance_without_duplicates (struct sim *sim, gint64 ms);
+
 /** Submit a job with @a spec as @a id; @a spec stays owned by the caller. */
 void sim_submit (struct sim *sim, const char *id, const ivj_job *spec);
 
--- a/jobs/tests/lease_test.c
+++ b/jobs/tests/lease_test.c
@@ -9,17 +9,6 @@
 
 #define PARTITION_TIMEOUT_MS 3000 /* hold_cut: a partitioned owner renews leases for so long */
 
-/* Advances by @a ms and checks all the while that no task runs twice. */
-static void
-advance_without_duplicates (struct sim *sim, gint64 ms)
-{
-  for (gint64 i = 0; i < ms; i += 10)
-    {
-      sim_advance (sim, 10);
-      assert_true (sim_max_concurrent_runs (sim) <= 1);
-    }
-}
-
 /* Guards against a requeue of adopted runs while the lease that the previous owner gave still runs:
    a start that fails at once is the only call since the first reply, so that its short deadline was
    taken for the end of every lease. */
@@ -48,7 +37,7 @@
   sim_submit (sim, OTHER_JOB_ID, &sim_spec);
   sim_advance (sim, 20);
   assert_int_equal (sim->start_calls, 1);
-  advance_without_duplicates (sim, 9000);
+  assert_true (sim_advance_without_duplicates (sim, 9000));
   assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
   assert_int_equal (sim->workers[0].runs->len, 0);
   sim_free (sim);
@@ -78,7 +67,7 @@
       sim_start_owner (sim);
       /* The previous owner renews leases for a while longer. */
       sim->workers[0].lease_end_clock_ms += PARTITION_TIMEOUT_MS;
-      advance_without_duplicates (sim, 14000);
+      assert_true (sim_advance_without_duplicates (sim, 14000));
       assert_int_equal (sim->workers[1].runs->len, 1);
       sim_free (sim);
     }
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -77,17 +77,6 @@
   sim_free (sim);
 }
 
-/* Advances by @a ms and checks all the while that no task runs twice. */
-static void
-advance_without_duplicates (struct sim *sim, gint64 ms)
-{
-  for (gint64 i = 0; i < ms; i += 10)
-    {
-      sim_advance (sim, 10);
-      assert_true (sim_max_concurrent_runs (sim) <= 1);
-    }
-}
-
 /* A cell whose worker 0 alone has capacity, after @a owned_ms; both workers are idle. */
 static struct sim *
 cell_with_idle_workers (gint64 owned_ms)
@@ -133,13 +122,13 @@
       sim_advance (sim, 10);
       assert_int_equal (sim->start_calls, 1);
       give_capacity (sim);
-      advance_without_duplicates (sim, MAX (cases[i].list_after_ms, 0));
+      assert_true (sim_advance_without_duplicates (sim, MAX (cases[i].list_after_ms, 0)));
       if (cases[i].list_after_ms >= 0)
         sim_list_workers (sim);
       if (cases[i].silent)
         sim_advance (sim, 20);
       sim->workers[0].unreachable = cases[i].silent;
-      advance_without_duplicates (sim, 14000);
+      assert_true (sim_advance_without_duplicates (sim, 14000));
       assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
       sim_free (sim);
     }
@@ -179,7 +168,7 @@
             sim_restart_worker (sim, 0);
           if (now == cases[i].silent_until_ms || now == cases[i].restart_ms)
             sim_list_workers (sim);
-          advance_without_duplicates (sim, 10);
+          assert_true (sim_advance_without_duplicates (sim, 10));
           /* The task need not wait for the late start. */
           if (now == cases[i].silent_until_ms + 1500 && cases[i].stop_delay_ms == 0)
             assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
@@ -278,9 +267,9 @@
       sim->workers[1].unreachable = TRUE;
       sim_restart_worker (sim, 0);
       if (!suspended)
-        advance_without_duplicates (sim, 1500);
+        assert_true (sim_advance_without_duplicates (sim, 1500));
       sim->domain_a_out = FALSE;
-      advance_without_duplicates (sim, 4000);
+      assert_true (sim_advance_without_duplicates (sim, 4000));
       assert_int_equal (sim->start_calls, started);
       assert_false (iv_owner_is_deposed (sim->owner));
       g_array_set_size (sim->workers[1].runs, 0);
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -13,16 +13,6 @@
 #define MEMBER_TTL_MS 1000        /* a member silent for this long may be replaced */
 #define ENTRY_TTL_MS 3300         /* an entry silent for this long is removed from the list */
 
-static void
-advance_without_duplicates (struct sim *sim, gint64 ms)
-{
-  for (gint64 i = 0; i < ms; i += 10)
-    {
-      sim_advance (sim, 10);
-      assert_true (sim_max_concurrent_runs (sim) <= 1);
-    }
-}
-
 /* The platform stops listing each worker that runs a task. */
 static void
 unlist_busy_workers (struct sim *sim)
@@ -63,11 +53,7 @@
   sim_advance (sim, 20000);
   assert_int_equal (sim_total_runs (sim), 1);
   sim_start_owner (sim);
-  for (guint i = 0; i < 200; i++)
-    {
-      sim_advance (sim, 100);
-      assert_true (sim_max_concurrent_runs (sim) <= 1);
-    }
+  assert_true (sim_advance_without_duplicates (sim, 20000));
   assert_int_equal (sim_total_runs (sim), 1);
   sim_free (sim);
 }
@@ -104,11 +90,7 @@
   assert_int_equal (sim_total_runs (sim), 1);
   sim->workers[busy].unreachable = TRUE;
   sim_start_owner (sim);
-  for (guint i = 0; i < 80; i++)
-    {
-      sim_advance (sim, 100);
-      assert_true (sim_max_concurrent_runs (sim) <= 1);
-    }
+  assert_true (sim_advance_without_duplicates (sim, 8000));
   sim_free (sim);
 }
 
@@ -254,7 +236,7 @@
       for (guint i = 1; i < sim->count; i += 2)
         sim->workers[i].capacity_milli = 4000;
       sim_start_owner (sim);
-      advance_without_duplicates (sim, 2 * sim->limits.horizon_ms);
+      assert_true (sim_advance_without_duplicates (sim, 2 * sim->limits.horizon_ms));
       assert_int_equal (sim_total_runs (sim), 1 + busy);
       sim_free (sim);
     }
@@ -281,7 +263,7 @@
   sim->workers[busy].unreachable = TRUE;
   sim_start_owner (sim);
   iv_owner_apply_handover (sim->owner, ids);
-  advance_without_duplicates (sim, 9000);
+  assert_true (sim_advance_without_duplicates (sim, 9000));
   assert_int_equal (sim->start_calls, 2);
   g_ptr_array_free (unresolved, TRUE);
   g_strfreev (ids);
@@ -302,9 +284,9 @@
   sim->workers[busy].unreachable = TRUE;
   sim_start_owner (sim);
   sim->workers[busy].lease_end_clock_ms += PARTITION_TIMEOUT_MS - MEMBER_TTL_MS;
-  advance_without_duplicates (sim, ENTRY_TTL_MS - MEMBER_TTL_MS);
+  assert_true (sim_advance_without_duplicates (sim, ENTRY_TTL_MS - MEMBER_TTL_MS));
   iv_owner_worker_unlisted (sim->owner, sim->workers[busy].id, sim->now_ms);
-  advance_without_duplicates (sim, 9000);
+  assert_true (sim_advance_without_duplicates (sim, 9000));
   assert_int_equal (sim->start_calls, 2);
   sim_free (sim);
 }
@@ -326,7 +308,7 @@
   sim_advance (sim, 700);
   assert_int_equal (sim->workers[busy].runs->len, 1);
   sim_start_owner (sim);
-  advance_without_duplicates (sim, 9000);
+  assert_true (sim_advance_without_duplicates (sim, 9000));
   assert_int_equal (sim->start_calls, 2);
   sim_free (sim);
 }
@@ -344,7 +326,7 @@
   sim_start_owner (sim);
   iv_owner_apply_handover (sim->owner, ids);
   iv_owner_worker_unlisted (sim->owner, sim->workers[busy].id, sim->now_ms);
-  advance_without_duplicates (sim, 9000);
+  assert_true (sim_advance_without_duplicates (sim, 9000));
   assert_int_equal (sim->start_calls, 2);
   sim_free (sim);
 }
