Count a crash unseen by its owner only if a start was announced

Cause: the record of a count did not tell whether the task was started after it.

A task under suspicion is started once it has a worker and the record that announces the start is stored. The next owner counts an unseen crash only for an announced start.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -46,6 +46,7 @@
   task->crashes = 0;
   task->crashes_seen = 0;
   task->crashes_alone = 0;
+  task->start_announced = FALSE;
   exec->needs_record = TRUE;
   iv_owner_queue_record (owner, exec);
 }
@@ -204,6 +205,7 @@
   run->accused = TRUE;
   if (task == NULL || task->state == IV_JOB_TASK_DONE)
     return;
+  task->start_announced = FALSE;
   task->crashes++;
   task->crashes_seen += seen ? 1 : 0;
   task->crashes_alone += alone ? 1 : 0;
@@ -240,8 +242,9 @@
 count_unseen (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
               const struct iv_task_name *name)
 {
-  if (task->crashes == 0 || task->state != IV_JOB_TASK_WAITING || task->run > 0)
+  if (!task->start_announced || task->state != IV_JOB_TASK_WAITING || task->run > 0)
     return;
+  task->start_announced = FALSE;
   task->crashes++;
   record_crash (owner, exec);
   iv_event (IV_LEVEL_INFO, "task.suspected",
@@ -301,6 +304,16 @@
   return task->crashes == 0 || (!exec->hopeless && owner->stored_batch >= exec->crash_batch);
 }
 
+gboolean
+iv_crash_announce_start (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task)
+{
+  if (task->crashes == 0 || task->start_announced)
+    return TRUE;
+  task->start_announced = TRUE;
+  record_crash (owner, exec);
+  return FALSE;
+}
+
 void
 iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task)
 {
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -21,6 +21,11 @@
 gboolean iv_crash_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
                              const struct iv_job_task *task);
 
+/** @a task is about to start. Under suspicion it must not before that is recorded, or the next
+ * owner could not tell whether it has crashed one more worker: FALSE until then. */
+gboolean iv_crash_announce_start (struct iv_owner *owner, struct iv_job_exec *exec,
+                                  struct iv_job_task *task);
+
 /** @a run of @a task was added to its worker: under suspicion, it is kept apart. */
 void iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task);
 
@@ -46,8 +51,8 @@
 void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
                      const struct iv_task_name *name);
 
-/** The runs of previous owners are known. A task under suspicion that none of them is of is taken
- * to have crashed its worker unseen. */
+/** The runs of previous owners are known. A task under suspicion whose start was announced, and
+ * that none of them is of, is taken to have crashed its worker unseen. */
 void iv_crash_previous_runs_known (struct iv_owner *owner);
 
 /** End the jobs with a task that is to blame for crashes as failed. */
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -122,6 +122,8 @@
         continue;
       if (worker == NULL || (query->starved && exec->placed > 0))
         return;
+      if (!iv_crash_announce_start (owner, exec, task))
+        continue;
       name->index = i;
       start_task (owner, query, exec, stage, task, name, worker,
                   next_run_number (owner, task->run));
@@ -140,6 +142,7 @@
   const char *checkpoint = NULL;
   gint64 highest = 0;
   guint found;
+  gboolean announced = TRUE;
   for (guint i = 0; i < count; i++)
     {
       if (!may_start (owner, exec, stage, &stage->tasks[i], now_ms))
@@ -164,6 +167,8 @@
       iv_run_remove (iv_run_find (chosen[i], name, -1));
     }
   for (guint i = 0; found == count && i < count; i++)
+    announced &= iv_crash_announce_start (owner, exec, &stage->tasks[i]);
+  for (guint i = 0; found == count && announced && i < count; i++)
     {
       struct iv_job_task *task = &stage->tasks[i];
       name->index = i;
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -107,6 +107,7 @@
       task->crashes = crash->crashes;
       task->crashes_seen = crash->seen;
       task->crashes_alone = crash->alone;
+      task->start_announced = crash->announced;
       exec->has_crashes = TRUE;
     }
 }
@@ -341,8 +342,9 @@
   for (guint i = 0; i < stage->step->count; i++)
     {
       const struct iv_job_task *task = &stage->tasks[i];
-      ivj_crash row = { occurrence->number, stage->number,      i,
-                        task->crashes,      task->crashes_seen, task->crashes_alone };
+      ivj_crash row
+          = { occurrence->number,  stage->number,        i, task->crashes, task->crashes_seen,
+              task->crashes_alone, task->start_announced };
       if (task->crashes > 0 && task->state != IV_JOB_TASK_DONE)
         g_array_append_val (rows, row);
     }
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -20,17 +20,18 @@
 struct iv_job_task
 {
   enum iv_job_task_state state;
-  gint64 run;           /**< highest run number that a start of this task has used */
-  gint64 placed_run;    /**< number of the run that it is placed as; 0: it is not placed */
-  gint64 not_before_ms; /**< monotonic clock; earliest next start after a failure */
-  guint failures;       /**< failed runs, each counted once */
-  gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
-  guint crashes;        /**< crashes that it is suspected of since it last survived a start */
-  guint crashes_seen;   /**< those of them that it was seen to have started before */
-  guint crashes_alone;  /**< those in which it was the only suspect, too */
-  guint32 avoid_worker; /**< handle of the worker on which it last failed; 0: none */
-  gboolean runs_known;  /**< no run of it can exist that this owner does not know of */
-  char *checkpoint;     /**< to resume from; NULL: start from the beginning */
+  gint64 run;               /**< highest run number that a start of this task has used */
+  gint64 placed_run;        /**< number of the run that it is placed as; 0: it is not placed */
+  gint64 not_before_ms;     /**< monotonic clock; earliest next start after a failure */
+  guint failures;           /**< failed runs, each counted once */
+  gint64 *failed_runs;      /**< numbers of these runs: workers report ends in any order */
+  guint crashes;            /**< crashes that it is suspected of since it last survived a start */
+  gboolean start_announced; /**< the stored count says that it may have been started since */
+  guint crashes_seen;       /**< those of them that it was seen to have started before */
+  guint crashes_alone;      /**< those in which it was the only suspect, too */
+  guint32 avoid_worker;     /**< handle of the worker on which it last failed; 0: none */
+  gboolean runs_known;      /**< no run of it can exist that this owner does not know of */
+  char *checkpoint;         /**< to resume from; NULL: start from the beginning */
 };
 
 /** Execution state of one step in one occurrence. */
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -79,6 +79,7 @@
   unsigned crashes;
   unsigned seen;
   unsigned alone;
+  bool announced; /* it is started once this is stored, if it was not before */
 };
 
 struct ivj_crashes {
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -227,7 +227,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -241,6 +241,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->alone))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->announced))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->occurrence);
 			IXDR_PUT_U_LONG(buf, objp->step);
@@ -248,10 +250,11 @@
 			IXDR_PUT_U_LONG(buf, objp->crashes);
 			IXDR_PUT_U_LONG(buf, objp->seen);
 			IXDR_PUT_U_LONG(buf, objp->alone);
+			IXDR_PUT_BOOL(buf, objp->announced);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->occurrence))
 				 return FALSE;
@@ -265,6 +268,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->alone))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->announced))
+				 return FALSE;
 		} else {
 			objp->occurrence = IXDR_GET_U_LONG(buf);
 			objp->step = IXDR_GET_U_LONG(buf);
@@ -272,6 +277,7 @@
 			objp->crashes = IXDR_GET_U_LONG(buf);
 			objp->seen = IXDR_GET_U_LONG(buf);
 			objp->alone = IXDR_GET_U_LONG(buf);
+			objp->announced = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -288,6 +294,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->alone))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->announced))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -122,6 +122,7 @@
 	u_int crashes;
 	u_int seen;
 	u_int alone;
+	bool_t announced;
 };
 typedef struct ivj_crash ivj_crash;
 
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -429,6 +429,31 @@
   sim_free (sim);
 }
 
+/* Owners in turn that start nothing must not count crashes: a job that could be done was given up.
+ */
+static void
+test_owners_that_start_nothing_accuse_nobody (void **state)
+{
+  struct sim *sim = cell_with_deadly (8, 1, 0, NULL);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 20);
+  for (guint i = 0; i < sim->count; i++)
+    if (sim->workers[i].runs->len > 0)
+      sim_crash_worker (sim, i);
+  sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+  sim_advance (sim, 12000);
+  for (guint i = 0; i < 6; i++)
+    {
+      sim_start_owner (sim);
+      sim_advance (sim, 10000);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+    }
+  sim->evidence_age_ms = 0;
+  sim_advance (sim, 5000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -450,6 +475,7 @@
     cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
     cmocka_unit_test (test_start_to_a_worker_that_had_gone_is_no_crash),
     cmocka_unit_test (test_worker_that_leaves_accuses_nobody),
+    cmocka_unit_test (test_owners_that_start_nothing_accuse_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
