Hand over how long to wait for each unresolved worker

Cause: the wait was counted from the start of each owner, not from the last sign of the runs.

The handover says for each unresolved worker how long runs may exist there: the rest of the lease, the rest of the wait, or the horizon where a last attempt may have failed unseen. Fields of an earlier release have no waits; the horizon holds then.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -195,6 +195,11 @@
   g_string_printf (text, "%" G_GINT64_FORMAT, task->term);
   for (guint i = 0; i < ids->len; i++)
     g_string_append_printf (text, " %s", (const char *)g_ptr_array_index (ids, i));
+  g_string_append (text, " " IV_HANDOVER_WAITS);
+  for (guint i = 0; i < ids->len; i++)
+    g_string_append_printf (text, " %" G_GINT64_FORMAT,
+                            iv_owner_unresolved_ms (task->owner, g_ptr_array_index (ids, i),
+                                                    iv_cell_task_now_ms (task)));
   iv_cell_task_frame_record (task, body, IV_KEY_HANDOVER, text->str, text->len);
   iv_store_append (task->deps.store, IV_TOPIC_JOBS, &no_writer, body,
                    iv_cell_task_now_ms (task) + HANDOVER_TIMEOUT_MS, on_handed_over, NULL);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -43,7 +43,7 @@
   owner->term = term;
   owner->run_base = term << RUN_TERM_SHIFT;
   owner->owned_since_ms = now_ms;
-  owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->execs = g_ptr_array_new ();
   owner->unrecorded = g_ptr_array_new ();
   owner->wall_ms = wall_ms;
@@ -379,6 +379,30 @@
          && task->failures + 1 >= iv_owner_attempt_limit (owner, exec->job);
 }
 
+static gboolean
+has_last_attempt (struct iv_owner *owner, const struct iv_fleet_worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    if (is_last_attempt (owner, g_ptr_array_index (worker->runs, i)))
+      return TRUE;
+  return FALSE;
+}
+
+gint64
+iv_owner_unresolved_ms (struct iv_owner *owner, const char *id, gint64 now_ms)
+{
+  const struct iv_fleet_worker *worker = iv_fleet_find_by_id (owner->fleet, id);
+  gint64 left_ms;
+  if (worker == NULL || has_last_attempt (owner, worker))
+    return owner->limits.horizon_ms;
+  if (worker->fenced)
+    left_ms = (worker->lease_end_clock_ms - iv_worker_clock_min (worker, now_ms)) * 100
+              / (100 - IV_WORKER_CLOCK_SLOW_PERCENT);
+  else
+    left_ms = MAX (iv_owner_awaited_until_ms (owner, id), worker->horizon_end_ms) - now_ms;
+  return MAX (0, left_ms);
+}
+
 /* Requeues the tasks of a silent worker whose leases have expired. The last attempt at a task may
    have failed there, so it is repeated only after the worker has been off the list for the
    horizon. */
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -184,9 +184,14 @@
  *  another way. The caller frees the array; the strings belong to the owner. */
 GPtrArray *iv_owner_unresolved_workers (const struct iv_owner *owner);
 
-/** The previous owner shut down in order and reported @a ids (NULL-terminated) as its unresolved
- *  workers: wait for no others. */
-void iv_owner_apply_handover (struct iv_owner *owner, char *const *ids);
+/** How long runs may exist on worker @a id of that array, should it be silent from now on, ms. */
+gint64 iv_owner_unresolved_ms (struct iv_owner *owner, const char *id, gint64 now_ms);
+
+/** The previous owner shut down in order and reported its unresolved workers: wait for no others.
+ *  @a fields is NULL-terminated: the ids, then IV_HANDOVER_WAITS and for each id how long runs may
+ *  exist there. An earlier release reports the ids alone. */
+void iv_owner_apply_handover (struct iv_owner *owner, char *const *fields);
+#define IV_HANDOVER_WAITS "|"
 
 /** Give up ownership and free. Nothing is sent to workers. */
 void iv_owner_free (struct iv_owner *owner);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -44,7 +44,7 @@
   gint64 confirmed_ms;    /**< newest tick in which no other host could own the cell */
   gint64 next_load_log_ms;
   gboolean handed_over;         /**< only the workers in `unresolved` are waited for */
-  GHashTable *unresolved;       /**< set of worker ids */
+  GHashTable *unresolved;       /**< from worker id to gint64: until when to wait for it */
   gboolean previous_runs_known; /**< every run of a previous owner is known */
   gboolean workers_loaded;
   gboolean roster_known;   /**< the roster of the previous owner was loaded */
@@ -72,6 +72,9 @@
 /** Note when every run of a previous owner is known: takeover.c. */
 void iv_owner_check_previous_runs (struct iv_owner *owner, gint64 now_ms);
 
+/** Until when runs of a previous owner may exist on worker @a id, if it stays silent. */
+gint64 iv_owner_awaited_until_ms (const struct iv_owner *owner, const char *id);
+
 /** Mark @a task as waiting when it is placed. */
 void iv_owner_clear_placement (struct iv_job_exec *exec, struct iv_stage *stage,
                                struct iv_job_task *task);
--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -4,6 +4,8 @@
 #include "event.h"
 #include "histogram.h"
 
+#include <string.h>
+
 /* Whether runs of a previous owner may exist on a worker that has not replied yet: its roster names
    each that has any. None do where another instance answers at the worker's address. A worker that
    drained and left the list has ended all its runs, but it may also have lost the store: what the
@@ -36,11 +38,23 @@
 }
 
 void
-iv_owner_apply_handover (struct iv_owner *owner, char *const *ids)
+iv_owner_apply_handover (struct iv_owner *owner, char *const *fields)
 {
+  guint ids = 0;
+  gboolean waits_known;
   owner->handed_over = TRUE;
-  for (; *ids; ids++)
-    g_hash_table_add (owner->unresolved, g_strdup (*ids));
+  while (fields[ids] && strcmp (fields[ids], IV_HANDOVER_WAITS) != 0)
+    ids++;
+  waits_known = fields[ids] && g_strv_length ((char **)fields) == 2 * ids + 1;
+  for (guint i = 0; i < ids; i++)
+    {
+      gint64 *until_ms = g_new (gint64, 1);
+      gint64 wait_ms = owner->limits.horizon_ms;
+      if (waits_known)
+        wait_ms = MIN (wait_ms, g_ascii_strtoll (fields[ids + 1 + i], NULL, 10));
+      *until_ms = owner->owned_since_ms + wait_ms;
+      g_hash_table_insert (owner->unresolved, g_strdup (fields[i]), until_ms);
+    }
 }
 
 void
@@ -49,17 +63,25 @@
   owner->workers_loaded = TRUE;
 }
 
-/* Whether each worker that the previous owner reported is known here. */
+gint64
+iv_owner_awaited_until_ms (const struct iv_owner *owner, const char *id)
+{
+  const gint64 *until_ms = g_hash_table_lookup (owner->unresolved, id);
+  return until_ms ? *until_ms : owner->owned_since_ms + owner->limits.horizon_ms;
+}
+
+/* Whether a worker that the previous owner reported, and that may have runs, is unknown here. */
 static gboolean
-are_unresolved_known (const struct iv_owner *owner)
+lacks_unresolved (const struct iv_owner *owner, gint64 now_ms)
 {
   GHashTableIter iter;
   gpointer id;
   g_hash_table_iter_init (&iter, owner->unresolved);
   while (g_hash_table_iter_next (&iter, &id, NULL))
-    if (iv_fleet_find_by_id (owner->fleet, id) == NULL)
-      return FALSE;
-  return TRUE;
+    if (iv_fleet_find_by_id (owner->fleet, id) == NULL
+        && now_ms <= iv_owner_awaited_until_ms (owner, id))
+      return TRUE;
+  return FALSE;
 }
 
 /* Whether the runs of previous owners are known: each worker that may have one has replied, or the
@@ -71,12 +93,15 @@
   gpointer value;
   if (now_ms > owner->owned_since_ms + owner->limits.horizon_ms)
     return TRUE;
-  if (!owner->workers_loaded || owner->roster_missing || !are_unresolved_known (owner))
+  if (!owner->workers_loaded || owner->roster_missing || lacks_unresolved (owner, now_ms))
     return FALSE;
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_awaited (owner, value))
-      return FALSE;
+    {
+      const struct iv_fleet_worker *worker = value;
+      if (is_awaited (owner, worker) && now_ms <= iv_owner_awaited_until_ms (owner, worker->id))
+        return FALSE;
+    }
   return TRUE;
 }
 
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -392,6 +392,63 @@
   sim_free (sim);
 }
 
+/* The fields of a handover by the present owner. */
+static char **
+hand_over (struct sim *sim)
+{
+  GPtrArray *ids = iv_owner_unresolved_workers (sim->owner);
+  char **fields = g_new0 (char *, 2 * ids->len + 2);
+  for (guint i = 0; i < ids->len; i++)
+    {
+      const char *id = g_ptr_array_index (ids, i);
+      fields[i] = g_strdup (id);
+      fields[ids->len + 1 + i] = g_strdup_printf (
+          "%" G_GINT64_FORMAT, iv_owner_unresolved_ms (sim->owner, id, sim->now_ms));
+    }
+  fields[ids->len] = g_strdup (IV_HANDOVER_WAITS);
+  g_ptr_array_free (ids, TRUE);
+  return fields;
+}
+
+/* Advances until the next start, which must begin no second run; how long it took. */
+static gint64
+wait_for_start (struct sim *sim)
+{
+  gint64 from_ms = sim->now_ms;
+  guint before = sim->start_calls;
+  while (sim->start_calls == before && sim->now_ms < from_ms + 20000)
+    assert_true (sim_advance_without_duplicates (sim, 10));
+  return sim->now_ms - from_ms;
+}
+
+/* Guards against long-running tasks that get no worker: each owner that resigned before it knew all
+   runs handed its wait on, and the next one waited for the whole horizon again. In the first case
+   the worker is silent to both owners, in the second the first one still renewed its leases. */
+static void
+test_handovers_do_not_add_up_their_waits (void **state)
+{
+  static const gint64 bound_ms[] = { 3000, 5500 };
+  for (guint answers_first = 0; answers_first < 2; answers_first++)
+    {
+      struct sim *sim = run_one_task ();
+      guint busy = busy_worker (sim);
+      char **fields;
+      gint64 took_ms;
+      sim->workers[busy].unreachable = !answers_first;
+      sim_start_owner (sim);
+      sim_advance (sim, sim->limits.horizon_ms - 2000);
+      fields = hand_over (sim);
+      sim->workers[busy].unreachable = TRUE;
+      sim_start_owner (sim);
+      iv_owner_apply_handover (sim->owner, fields);
+      took_ms = wait_for_start (sim);
+      assert_in_range (took_ms, answers_first ? sim->limits.lease_ms - 1000 : 0,
+                       bound_ms[answers_first]);
+      g_strfreev (fields);
+      sim_free (sim);
+    }
+}
+
 /* Guards against an attempt too many: the previous owner could not record that the task had failed
    before, and the worker that knows has not replied to this one. */
 static void
@@ -431,6 +488,7 @@
     cmocka_unit_test (test_missing_roster_is_waited_out),
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
     cmocka_unit_test (test_horizon_is_waited_for_once),
+    cmocka_unit_test (test_handovers_do_not_add_up_their_waits),
     cmocka_unit_test (test_worker_that_never_replied_is_not_waited_for),
     cmocka_unit_test (test_failed_task_waits_for_earlier_failures),
     cmocka_unit_test (test_handover_before_the_list_was_read_shortens_nothing),
