--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -152,6 +152,7 @@
   policy->stretch = route->stretch;
   policy->objective_ms = route->objective_ms;
   policy->advised = route->advised;
+  policy->checks_capacity = route->checks_capacity;
   return TRUE;
 }
 
@@ -260,6 +261,20 @@
   g_free (record);
 }
 
+/* Queued before the progress record, and so in one append with it: when that fails, both are
+   collected again. */
+static void
+record_crashes (struct iv_cell_task *task, const struct iv_job_entry *job)
+{
+  GByteArray *bytes = iv_owner_encode_crashes (job);
+  char key[IV_JOB_ID_LEN + 8];
+  if (bytes == NULL)
+    return;
+  g_snprintf (key, sizeof key, "%s" IV_KEY_CRASHES, job->id);
+  iv_recorder_add (task->recorder, key, bytes->data, bytes->len, NULL, NULL);
+  g_byte_array_free (bytes, TRUE);
+}
+
 static void
 record_progress (struct iv_cell_task *task)
 {
@@ -272,6 +287,7 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       const struct iv_job_entry *job = g_ptr_array_index (jobs, i);
+      record_crashes (task, job);
       GByteArray *bytes = iv_owner_encode_progress (job);
       struct progress_record *record;
       char key[IV_JOB_ID_LEN + 8];
@@ -484,13 +500,16 @@
 {
   const struct iv_layout *layout = task->deps.layout (task->deps.context);
   const struct iv_fleet_settings *settings = task->deps.settings;
-  struct iv_owner_limits limits = { .lease_ms = settings->lease_ms,
-                                    .lease_max_ms = settings->lease_max_ms,
-                                    .start_ms = settings->start_window_ms,
-                                    .horizon_ms = settings->horizon_ms,
-                                    .evidence_max_age_ms = settings->evidence_max_age_ms,
-                                    .harm_ms = settings->harm_ms,
-                                    .spare_rack = iv_layout_cells (layout) > 1 };
+  struct iv_owner_limits limits
+      = { .lease_ms = settings->lease_ms,
+          .lease_max_ms = settings->lease_max_ms,
+          .start_ms = settings->start_window_ms,
+          .horizon_ms = settings->horizon_ms,
+          .evidence_max_age_ms = settings->evidence_max_age_ms,
+          .harm_ms = settings->harm_ms,
+          .capacity_max_age_ms = (settings->contact_ms + settings->heartbeat_ms)
+                                 * (100 - IV_WORKER_CLOCK_SLOW_PERCENT) / 100,
+          .spare_rack = iv_layout_cells (layout) > 1 };
   struct iv_owner_effects effects = { .context = task,
                                       .start = send_start,
                                       .stop = send_stop,
--- /dev/null
+++ b/jobs/crash.c
@@ -0,0 +1,390 @@
+#include "crash.h"
+
+#include "event.h"
+#include "owner_private.h"
+
+/* A worker that is alive this long after the start of a run has survived it. Tasks that crash
+   their workers were seen to do so within some 10 ms; lists come every 500 ms. */
+#define PROBATION_MS 500
+/* Last replies of workers that end together are this close: a poll is held for 500 ms. */
+#define TOGETHER_MS 700
+#define TOGETHER_MIN 2 /* other workers that must have ended with one for a common cause */
+
+/* A task is to blame when it was the only suspect twice; when it was the last time, of three, or
+   after four in any company, of which two must have been seen; or after five of which one was.
+   Callers may be told `failed` after two crashes, and there must be no sixth start. */
+#define ALONE_MAX 2
+#define CRASHES_LAST_ALONE 3
+#define SEEN_MIN 2
+#define CRASHES_MAX 4
+#define STARTS_MAX 5
+/* Time for the newest runs on a worker to prove harmless, with a list between. */
+#define RESERVE_MS (2 * PROBATION_MS + 200)
+/* Score of a long-running task or a gang member that would be lost, in thousandths of a core. */
+#define SCORE_LOSES_LONG_WORK (-20000)
+
+static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
+
+static guint
+count_unproven (const struct iv_fleet_worker *worker)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    count += !((const struct iv_run *)g_ptr_array_index (worker->runs, i))->proven;
+  return count;
+}
+
+void
+iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+                const struct iv_task_name *name)
+{
+  if (task->crashes == 0)
+    return;
+  iv_event (IV_LEVEL_INFO, "task.cleared", "task=%s.%u.%u.%u crashes=%u seen=%u alone=%u",
+            name->job, name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone);
+  task->crashes = 0;
+  task->crashes_seen = 0;
+  task->crashes_alone = 0;
+  exec->needs_record = TRUE;
+  iv_owner_queue_record (owner, exec);
+}
+
+static void
+clear_suspect (struct iv_owner *owner, struct iv_run *run)
+{
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
+  run->suspect = FALSE;
+  run->worker->suspects--;
+  owner->needs_dispatch = TRUE;
+  if (task)
+    iv_crash_clear (owner, exec, task, &run->name);
+}
+
+static void
+prove_run (struct iv_run *run, gint64 clock_ms)
+{
+  if (run->proven || (run->phase != IV_RUN_PHASE_RUNNING && run->first_clock_ms == 0))
+    return;
+  if (run->first_clock_ms == 0)
+    run->first_clock_ms = run->acked_clock_ms > 0 ? run->acked_clock_ms : clock_ms;
+  run->proven = clock_ms - run->first_clock_ms >= PROBATION_MS;
+}
+
+void
+iv_crash_worker_replied (struct iv_owner *owner, struct iv_fleet_worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      prove_run (run, worker->sample_clock_ms);
+      if (run->proven && run->suspect)
+        clear_suspect (owner, run);
+    }
+  if (worker->reserved_for && worker->suspects == 0 && count_unproven (worker) == 0)
+    owner->needs_dispatch = TRUE;
+}
+
+static gboolean
+ended_with (const struct iv_fleet_worker *other, gint64 alive_ms)
+{
+  gint64 last_ms = other->failures > 0 ? other->alive_ms : other->ended_alive_ms;
+  return last_ms > 0 && ABS (last_ms - alive_ms) <= TOGETHER_MS;
+}
+
+static gboolean
+survived (const struct iv_fleet_worker *other, gint64 alive_ms)
+{
+  return other->failures == 0 && other->instance_alive_since_ms > 0
+         && other->instance_alive_since_ms <= alive_ms && other->alive_ms > alive_ms + TOGETHER_MS;
+}
+
+/* Workers that went at about the same time as one of them, and those that did not. */
+struct neighbours
+{
+  guint ended;
+  guint survived;
+};
+
+static void
+count_neighbour (struct neighbours *neighbours, const struct iv_fleet_worker *other,
+                 gint64 alive_ms)
+{
+  neighbours->ended += ended_with (other, alive_ms);
+  neighbours->survived += survived (other, alive_ms);
+}
+
+static gboolean
+have_common_cause (const struct neighbours *neighbours)
+{
+  return neighbours->ended >= TOGETHER_MIN && neighbours->ended >= 2 * neighbours->survived;
+}
+
+/* The cause of an end that is not to be looked for among the runs; NULL: there is none. */
+static const char *
+outer_cause (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
+{
+  struct neighbours rack = { 0 };
+  struct neighbours domain = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+  if (worker->draining || worker->left_in_order)
+    return "left";
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct iv_fleet_worker *other = value;
+      if (other == worker)
+        continue;
+      if (g_strcmp0 (other->rack, worker->rack) == 0)
+        count_neighbour (&rack, other, worker->alive_ms);
+      if (g_strcmp0 (other->domain, worker->domain) == 0)
+        count_neighbour (&domain, other, worker->alive_ms);
+    }
+  if (have_common_cause (&rack))
+    return "rack";
+  return have_common_cause (&domain) ? "domain" : NULL;
+}
+
+static void
+log_lost_run (const struct iv_run *run, const char *evidence)
+{
+  const struct iv_fleet_worker *worker = run->worker;
+  iv_event (IV_LEVEL_INFO, "run.lost",
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s evidence=%s phase=%s proven=%d"
+            " sent_before_last_reply_ms=%" G_GINT64_FORMAT,
+            run->name.job, run->name.occurrence, run->name.step, run->name.index, run->number,
+            worker->id, evidence, phase_names[run->phase], run->proven,
+            worker->alive_ms - run->sent_ms);
+}
+
+/* Stores the count of a task of @a exec before the task starts again. */
+static void
+record_crash (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  exec->has_crashes = TRUE;
+  exec->crash_batch = owner->batch + 1;
+  owner->crash_batch = exec->crash_batch;
+  exec->needs_record = TRUE;
+  iv_owner_queue_record (owner, exec);
+}
+
+static gboolean
+is_to_blame (const struct iv_job_task *task, gboolean alone)
+{
+  guint bound = alone ? CRASHES_LAST_ALONE : CRASHES_MAX;
+  if (task->crashes_alone >= ALONE_MAX)
+    return TRUE;
+  return task->crashes >= (task->crashes_seen >= SEEN_MIN ? bound : STARTS_MAX)
+         && task->crashes_seen > 0;
+}
+
+static void
+judge (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_job_task *task,
+       const struct iv_task_name *name, gboolean alone)
+{
+  if (!is_to_blame (task, alone) || exec->hopeless)
+    return;
+  exec->hopeless = TRUE;
+  owner->hopeless = TRUE;
+  iv_event (IV_LEVEL_WARNING, "job.given_up",
+            "job=%s task=%s.%u.%u.%u crashes=%u seen=%u alone=%u last_alone=%d", name->job,
+            name->job, name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone, alone);
+}
+
+/* Counts the end of its worker against the task of @a run. @a seen: it had started there, and the
+   worker is proven to have ended. @a alone: no other run may be to blame. */
+static void
+accuse (struct iv_owner *owner, struct iv_run *run, gboolean seen, gboolean alone,
+        const char *evidence)
+{
+  const struct iv_task_name *name = &run->name;
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, NULL) : NULL;
+  run->accused = TRUE;
+  if (task == NULL || task->state == IV_JOB_TASK_DONE)
+    return;
+  task->crashes++;
+  task->crashes_seen += seen ? 1 : 0;
+  task->crashes_alone += alone ? 1 : 0;
+  record_crash (owner, exec);
+  iv_event (IV_LEVEL_INFO, "task.suspected",
+            "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT
+            " worker=%s evidence=%s crashes=%u seen=%u alone=%u",
+            name->job, name->occurrence, name->step, name->index, run->number, run->worker->id,
+            evidence, task->crashes, task->crashes_seen, task->crashes_alone);
+  judge (owner, exec, task, name, alone);
+}
+
+/* A start without an answer may not have arrived. */
+static gboolean
+has_started (const struct iv_run *run)
+{
+  return run->phase == IV_RUN_PHASE_RUNNING || run->first_clock_ms > 0;
+}
+
+static void
+accuse_unproven (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *evidence)
+{
+  gboolean alone = count_unproven (worker) == 1;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (!run->proven && !run->accused)
+        accuse (owner, run, alone || has_started (run), alone, evidence);
+    }
+}
+
+static void
+count_unseen (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+              const struct iv_task_name *name)
+{
+  if (task->crashes == 0 || task->state != IV_JOB_TASK_WAITING || task->run > 0)
+    return;
+  task->crashes++;
+  record_crash (owner, exec);
+  iv_event (IV_LEVEL_INFO, "task.suspected",
+            "task=%s.%u.%u.%u evidence=inherited crashes=%u seen=%u alone=%u", name->job,
+            name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
+            task->crashes_alone);
+  judge (owner, exec, task, name, FALSE);
+}
+
+static void
+count_unseen_of_job (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  struct iv_task_name name = { 0 };
+  g_strlcpy (name.job, exec->job->id, sizeof name.job);
+  for (guint i = 0; i < exec->job->crashes.tasks.tasks_len; i++)
+    {
+      const ivj_crash *crash = &exec->job->crashes.tasks.tasks_val[i];
+      struct iv_job_task *task;
+      name.occurrence = crash->occurrence;
+      name.step = crash->step;
+      name.index = crash->index;
+      task = iv_job_exec_task (exec, &name, NULL);
+      if (task)
+        count_unseen (owner, exec, task, &name);
+    }
+}
+
+void
+iv_crash_previous_runs_known (struct iv_owner *owner)
+{
+  for (guint i = 0; i < owner->execs->len; i++)
+    {
+      struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (exec->inherited && exec->has_crashes)
+        count_unseen_of_job (owner, exec);
+    }
+}
+
+void
+iv_crash_give_up (struct iv_owner *owner, gint64 now_ms)
+{
+  if (!owner->hopeless)
+    return;
+  owner->hopeless = FALSE;
+  for (guint i = owner->execs->len; i-- > 0;)
+    {
+      struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (exec->hopeless)
+        iv_owner_end_job (owner, exec, IVJ_FAILED, now_ms);
+    }
+}
+
+gboolean
+iv_crash_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                    const struct iv_job_task *task)
+{
+  return task->crashes == 0 || (!exec->hopeless && owner->stored_batch >= exec->crash_batch);
+}
+
+void
+iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *worker = run->worker;
+  run->suspect = task->crashes > 0;
+  worker->suspects += run->suspect ? 1 : 0;
+  if (worker->reserved_for == task)
+    worker->reserved_for = NULL;
+}
+
+static gboolean
+is_reserved (const struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  return worker->reserved_for && now_ms < worker->reserved_until_ms;
+}
+
+gboolean
+iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
+                 gint64 now_ms)
+{
+  if (worker->suspects > 0 || (is_reserved (worker, now_ms) && worker->reserved_for != task))
+    return FALSE;
+  return task->crashes == 0 || count_unproven (worker) == 0;
+}
+
+gint64
+iv_crash_score (const struct iv_fleet_worker *worker)
+{
+  gint64 points = -2 * worker->used.cpu_milli;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (run->step && run->step->flags & (IVJ_LONG_RUNNING | IVJ_GANG))
+        points += SCORE_LOSES_LONG_WORK;
+    }
+  return points;
+}
+
+struct iv_fleet_worker *
+iv_crash_better_busy (struct iv_fleet_worker *busy, struct iv_fleet_worker *worker,
+                      const struct iv_job_task *task, gint64 now_ms)
+{
+  if (task->crashes == 0 || worker->suspects > 0)
+    return busy;
+  if (busy && busy->reserved_for == task && is_reserved (busy, now_ms))
+    return busy;
+  if (is_reserved (worker, now_ms))
+    return worker->reserved_for == task ? worker : busy;
+  return busy == NULL || iv_crash_score (worker) > iv_crash_score (busy) ? worker : busy;
+}
+
+void
+iv_crash_reserve (const struct iv_owner *owner, struct iv_fleet_worker *worker,
+                  const struct iv_job_task *task, gint64 now_ms)
+{
+  if (is_reserved (worker, now_ms))
+    return;
+  worker->reserved_for = task;
+  worker->reserved_until_ms = now_ms + RESERVE_MS;
+}
+
+void
+iv_crash_worker_ended (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *evidence)
+{
+  const char *cause = outer_cause (owner, worker);
+  if (worker->runs->len > 0)
+    iv_event (IV_LEVEL_WARNING, "worker.ended",
+              "worker=%s evidence=%s runs=%u unproven=%u cause=%s last_reply_ms=%" G_GINT64_FORMAT,
+              worker->id, evidence, worker->runs->len, count_unproven (worker),
+              cause ? cause : "unknown", worker->alive_ms);
+  for (guint i = 0; i < worker->runs->len; i++)
+    log_lost_run (g_ptr_array_index (worker->runs, i), evidence);
+  if (cause == NULL)
+    accuse_unproven (owner, worker, evidence);
+  worker->ended_alive_ms = worker->alive_ms;
+  worker->left_in_order = FALSE;
+}
+
+void
+iv_crash_run_lapsed (struct iv_owner *owner, struct iv_run *run)
+{
+  const struct iv_fleet_worker *worker = run->worker;
+  log_lost_run (run, worker->listed ? "silent" : "silent_unlisted");
+  if (!worker->listed && !run->proven && !run->accused && outer_cause (owner, worker) == NULL)
+    accuse (owner, run, FALSE, FALSE, "silent_unlisted");
+}
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "advice.h"
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 #include "queue_order.h"
@@ -44,27 +45,32 @@
   candidate->class = iv_queue_classify (&candidate->item, now_ms);
 }
 
+/* A task whose runs are known may have failed before, under an owner that could not record it; once
+   it has failed here, one more start may be one too many. */
 static gboolean
 may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
            const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
 {
   return task->state == IV_JOB_TASK_WAITING && now_ms >= task->not_before_ms
+         && iv_crash_may_start (owner, exec, task)
          && (owner->previous_runs_known || !exec->inherited || stage->runs_known
-             || task->runs_known);
+             || (task->runs_known && task->failures == 0));
 }
 
 static void
-start_task (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_stage *stage,
-            struct iv_job_task *task, const struct iv_task_name *name,
-            struct iv_fleet_worker *worker, gint64 number, gint64 now_ms)
+start_task (struct iv_owner *owner, const struct iv_placement_query *query,
+            struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+            const struct iv_task_name *name, struct iv_fleet_worker *worker, gint64 number)
 {
+  gint64 now_ms = query->now_ms;
   struct iv_run *run = iv_run_add (worker, name, stage->step, number, now_ms);
   struct iv_start_command command = {
     .name = *name, .number = number, .spec = exec->job->spec.spec, .checkpoint = task->checkpoint
   };
   command.ticket = iv_advice_ticket (stage->advice, worker, now_ms);
-  command.deadline_clock_ms = iv_worker_clock (worker, now_ms) + owner->start_window_ms;
+  command.deadline_clock_ms = iv_place_start_deadline (worker, query);
   run->phase = IV_RUN_PHASE_STARTING;
+  iv_crash_run_started (run, task);
   run->workload = iv_sharing_workload (owner, stage->step);
   iv_sharing_add_run (owner, run, now_ms);
   run->start_deadline_clock_ms = command.deadline_clock_ms;
@@ -77,9 +83,6 @@
   if (!exec->started)
     {
       exec->started = TRUE;
-      exec->job->live_state = IVJ_RUNNING;
-      exec->needs_record = TRUE;
-      iv_owner_queue_record (owner, exec);
       iv_histogram_add (iv_histogram_get ("ibisvane_first_start_ms",
                                           "From reading a job to the first start of a task."),
                         now_ms - exec->first_seen_ms);
@@ -114,11 +117,14 @@
       if (!may_start (owner, exec, stage, task, now_ms))
         continue;
       worker = iv_place_task (query, task);
+      /* A task under suspicion may lack a worker that others can use. */
+      if (worker == NULL && task->crashes > 0)
+        continue;
       if (worker == NULL || (query->starved && exec->placed > 0))
         return;
       name->index = i;
-      start_task (owner, exec, stage, task, name, worker, next_run_number (owner, task->run),
-                  now_ms);
+      start_task (owner, query, exec, stage, task, name, worker,
+                  next_run_number (owner, task->run));
     }
 }
 
@@ -149,7 +155,8 @@
       if (chosen[found] == NULL)
         break;
       name->index = found;
-      iv_run_add (chosen[found], name, stage->step, -1, now_ms);
+      iv_crash_run_started (iv_run_add (chosen[found], name, stage->step, -1, now_ms),
+                            &stage->tasks[found]);
     }
   for (guint i = 0; i < found; i++)
     {
@@ -167,8 +174,8 @@
           task->checkpoint = copy;
           checkpoint = copy;
         }
-      start_task (owner, exec, stage, task, name, chosen[i], next_run_number (owner, highest),
-                  now_ms);
+      start_task (owner, query, exec, stage, task, name, chosen[i],
+                  next_run_number (owner, highest));
     }
   g_free (chosen);
 }
@@ -194,7 +201,7 @@
           sum = g_new0 (gint64, 1);
           g_hash_table_insert (free_cpu, worker->rack, sum);
         }
-      *sum += worker->capacity.cpu_milli - worker->used.cpu_milli;
+      *sum += iv_worker_free_milli (worker);
     }
   g_hash_table_iter_init (&iter, free_cpu);
   while (g_hash_table_iter_next (&iter, &key, &value))
@@ -245,6 +252,7 @@
           .service = candidate->policy.service,
           .workload = iv_sharing_workload (owner, stage->step),
           .advised = candidate->policy.advised,
+          .checks_capacity = candidate->policy.checks_capacity,
           .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
           .now_ms = now_ms };
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* The platform's task protocol permits a worker's clock to run slow by this much. */
-#define CLOCK_SLOW_PERCENT 2
-
 static void
 free_worker (gpointer data)
 {
@@ -60,7 +57,11 @@
   worker->polling = FALSE;
   worker->start_time_ms = start_time_ms;
   worker->roster_state = IV_ROSTER_ABSENT; /* its address may have changed */
+  worker->entry_clock_ms = 0;
   worker->fenced = FALSE;
+  worker->left_in_order = worker->draining;
+  worker->instance_alive_since_ms = 0;
+  worker->replaced = FALSE;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
   worker->lease_end_clock_ms = 0;
@@ -95,6 +96,10 @@
       *restarted = TRUE;
       reset_instance (fleet, worker, listed->start_time_ms);
     }
+  /* History that is read again, or a write that the store carried out late. */
+  else if (listed->clock_ms > 0 && listed->clock_ms < worker->entry_clock_ms)
+    return worker;
+  worker->entry_clock_ms = listed->clock_ms;
   replace_string (&worker->service, listed->service);
   replace_string (&worker->address, listed->address);
   replace_string (&worker->domain, listed->domain);
@@ -132,7 +137,10 @@
   struct iv_fleet_worker *worker = run->worker;
   const ivj_step *step = run->step;
   if (step == NULL)
-    return;
+    {
+      worker->unsized_runs = (guint)((gint64)worker->unsized_runs + sign);
+      return;
+    }
   worker->used.mem_mb += sign * step->mem_mb;
   worker->used.accelerators += sign * step->accelerators;
   if (step->flags & IVJ_BEST_EFFORT)
@@ -184,6 +192,7 @@
 iv_run_remove (struct iv_run *run)
 {
   add_usage (run, -1);
+  run->worker->suspects -= run->suspect ? 1 : 0;
   g_ptr_array_remove_fast (run->worker->runs, run);
   g_free (run);
 }
@@ -198,14 +207,34 @@
 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms)
 {
   gint64 elapsed_ms = now_ms - worker->clock_sampled_at_ms;
-  return worker->sample_clock_ms + elapsed_ms - elapsed_ms * CLOCK_SLOW_PERCENT / 100;
+  return worker->sample_clock_ms + elapsed_ms - elapsed_ms * IV_WORKER_CLOCK_SLOW_PERCENT / 100;
+}
+
+void
+iv_worker_refused (struct iv_fleet_worker *worker, const ivj_step *step)
+{
+  struct iv_resources *capacity = &worker->capacity;
+  const struct iv_resources *used = &worker->used;
+  if (step->cpu_milli > 0 && !(step->flags & IVJ_BEST_EFFORT))
+    capacity->cpu_milli = MIN (capacity->cpu_milli, used->cpu_milli + step->cpu_milli - 1);
+  if (step->mem_mb > 0)
+    capacity->mem_mb = MIN (capacity->mem_mb, used->mem_mb + step->mem_mb - 1);
+  if (step->accelerators > 0)
+    capacity->accelerators
+        = MIN (capacity->accelerators, used->accelerators + step->accelerators - 1);
+}
+
+gint64
+iv_worker_free_milli (const struct iv_fleet_worker *worker)
+{
+  return MAX (0, worker->capacity.cpu_milli - worker->used.cpu_milli);
 }
 
 gboolean
 iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
   gint64 cpu = step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli;
-  return worker->used.cpu_milli + cpu <= worker->capacity.cpu_milli
+  return worker->unsized_runs == 0 && worker->used.cpu_milli + cpu <= worker->capacity.cpu_milli
          && worker->used.mem_mb + step->mem_mb <= worker->capacity.mem_mb
          && worker->used.accelerators + step->accelerators <= worker->capacity.accelerators;
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -10,6 +10,8 @@
 
 #include "job_exec.h"
 
+/** The platform's task protocol permits a worker's clock to run slow by this much. */
+#define IV_WORKER_CLOCK_SLOW_PERCENT 2
 #define IV_FULL_SPEED_PERCENT 100 /**< CPU limit of a run that is not throttled */
 
 /** An amount of compute resources. */
@@ -33,6 +35,7 @@
   gboolean draining;
   /** Wall clock; distinguishes the instances of a worker, which share its id. */
   gint64 start_time_ms;
+  gint64 clock_ms; /**< when the worker wrote the entry, on its clock; 0: unknown */
 };
 
 /** How much the owner knows about a run. */
@@ -60,8 +63,12 @@
   gint64 acked_clock_ms; /**< when the worker replied to the last start or stop; a list that
                               is not newer does not prove the run absent */
   gint64 stop_sent_ms;
-  gboolean listed;            /**< in a list of the present instance of the worker */
-  guint percent;              /**< progress, as last listed */
+  gboolean listed;       /**< in a list of the present instance of the worker */
+  gint64 first_clock_ms; /**< when the worker first confirmed or listed it; 0: it has not */
+  gboolean suspect;      /**< its task is suspected of crashes and has not survived this start */
+  gboolean accused;      /**< the end of its worker was counted against its task */
+  gboolean proven;       /**< the worker has survived its start: see crash.h */
+  guint percent;         /**< progress, as last listed */
   gint64 progress_changed_ms; /**< when `percent` last changed */
   gint64 reported_load;   /**< tail latency in ms for a latency-critical task, else cores in use, in
                                thousandths */
@@ -96,20 +103,28 @@
   char *rack;
   char **labels;
   struct iv_resources capacity;
+  gint64 entry_clock_ms;        /**< when its entry was written, on its clock; 0: unknown */
   struct iv_resources used;     /**< by its runs; without the cores of best-effort tasks */
   gint64 best_effort_cpu_milli; /**< cores declared by best-effort tasks */
+  guint unsized_runs;           /**< number of runs without a step: what they use is unknown */
   guint latency_tasks;      /**< number of latency-critical tasks: those with a latency target */
   gint64 latency_cpu_milli; /**< cores declared by latency-critical tasks */
   guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
-  gboolean listed;          /**< the platform lists it */
-  gboolean draining;        /**< it accepts no new runs */
-  gint64 unlisted_ms;       /**< when the platform stopped listing it */
+  gint64 alive_ms;          /**< when its newest reply came; kept when it restarts */
+  gint64 ended_alive_ms;    /**< `alive_ms` of the instance that ended last; 0: none has */
+  gint64 instance_alive_since_ms;    /**< first reply of its present instance; 0: none yet */
+  gboolean replaced;                 /**< another instance has answered at its address */
+  gboolean left_in_order;            /**< its previous instance was draining when it ended */
+  gboolean listed;                   /**< the platform lists it */
+  gboolean draining;                 /**< it accepts no new runs */
+  gint64 unlisted_ms;                /**< when the platform stopped listing it */
   enum iv_roster_state roster_state; /**< in the newest roster... */
   gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
   gboolean drained_with_runs; /**< it was draining in the roster of the previous owner */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
   gboolean restarted;         /**< this owner knew an instance before the present one */
   gboolean fenced;            /**< it has replied under the term of this owner */
+  gint64 fenced_ms;           /**< since when */
   gint64 horizon_end_ms;      /**< if it stays silent, no run is left on it from then on */
   gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
   gint64 clock_sampled_at_ms; /**< ...and when that reply came, on the owner's clock */
@@ -124,6 +139,9 @@
   guint failures; /**< consecutive requests without a reply */
   guint consecutive_failed_runs;
   gint64 quarantined_until_ms; /**< no new runs before this, after failed or refused ones */
+  guint suspects;              /**< runs of tasks under suspicion that may crash it */
+  const void *reserved_for;    /**< task under suspicion that it is kept free for */
+  gint64 reserved_until_ms;    /**< end of that reservation */
   GPtrArray *runs;             /**< of struct iv_run */
   GArray *lost_starts;         /**< of struct iv_lost_start */
 };
@@ -147,8 +165,9 @@
 struct iv_fleet *iv_fleet_new (void);
 void iv_fleet_free (struct iv_fleet *fleet);
 
-/** Add or update a worker; a list entry of an older instance than the known one is ignored.
- *  @a restarted is set when a newer instance replaces the known one: the caller sees to the runs.
+/** Add or update a worker; a list entry older than the known one, or of an older instance, is
+ *  ignored. @a restarted is set when a newer instance replaces the known one: the caller sees to
+ *  the runs.
  */
 struct iv_fleet_worker *iv_fleet_update_worker (struct iv_fleet *fleet,
                                                 const struct iv_listed_worker *listed,
@@ -161,8 +180,8 @@
 /** Remove and free a worker that is gone and has no runs. */
 void iv_fleet_remove (struct iv_fleet *fleet, struct iv_fleet_worker *worker);
 
-/** Add a run of @a step to @a worker and reserve its resources. @a step may be NULL: nothing is
- *  reserved. */
+/** Add a run of @a step to @a worker and reserve its resources. @a step may be NULL: the
+ *  worker then has no capacity for others until the run is removed. */
 struct iv_run *iv_run_add (struct iv_fleet_worker *worker, const struct iv_task_name *name,
                            const ivj_step *step, gint64 number, gint64 now_ms);
 
@@ -179,8 +198,18 @@
 /** Lower bound of the worker's clock at @a now_ms, for the slowest clock permitted. */
 gint64 iv_worker_clock_min (const struct iv_fleet_worker *worker, gint64 now_ms);
 
+/** A start of a task of @a step was refused for lack of capacity, and its run removed: @a worker
+ *  has less than the task needs beside the others, until its next entry says more. Which resource
+ *  it lacks is not known, so all are lowered. */
+void iv_worker_refused (struct iv_fleet_worker *worker, const ivj_step *step);
+
+/** Free cores of @a worker, in thousandths. Not negative: a worker whose capacity has shrunk below
+ *  what runs there takes nothing from others. */
+gint64 iv_worker_free_milli (const struct iv_fleet_worker *worker);
+
 /** Whether a task of @a step fits into the free resources of @a worker. A best-effort task needs
- *  free memory and accelerators, but no free cores. */
+ *  free memory and accelerators, but no free cores. FALSE while a run of unknown size is left,
+ * which is being stopped. */
 gboolean iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step);
 
 #endif
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -25,6 +25,9 @@
   gint64 not_before_ms; /**< monotonic clock; earliest next start after a failure */
   guint failures;       /**< failed runs, each counted once */
   gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
+  guint crashes;        /**< crashes that it is suspected of since it last survived a start */
+  guint crashes_seen;   /**< those of them that it was seen to have started before */
+  guint crashes_alone;  /**< those in which it was the only suspect, too */
   guint32 avoid_worker; /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;  /**< no run of it can exist that this owner does not know of */
   char *checkpoint;     /**< to resume from; NULL: start from the beginning */
@@ -61,8 +64,11 @@
   GPtrArray *open;          /**< of struct iv_occurrence, by ascending number */
   guint opened;             /**< occurrences opened so far */
   gboolean needs_record;    /**< progress has changed since it was last recorded */
-  gboolean started;         /**< a task of it has started */
+  gboolean started;         /**< a task of it may have started: a start was sent */
   gboolean inherited;       /**< a previous owner may have started tasks of it */
+  gboolean has_crashes;     /**< a task of it was suspected of a crash */
+  gboolean hopeless;        /**< a task of it is to blame for crashes */
+  guint64 crash_batch;      /**< collection that records the newest crash; suspects wait for it */
   guint placed;             /**< tasks that run or may run */
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
@@ -100,6 +106,9 @@
 gboolean iv_job_exec_task_failed (struct iv_job_exec *exec, const struct iv_task_name *name,
                                   gint64 run, guint attempts);
 
+/** A run of the job exists or existed, as a worker says: it is no longer queued. */
+void iv_job_exec_running (struct iv_job_exec *exec);
+
 /** Set the final @a state of the job. */
 void iv_job_exec_end (struct iv_job_exec *exec, enum ivj_state state, gint64 wall_ms);
 
@@ -110,6 +119,10 @@
  *  g_byte_array_unref(). */
 GByteArray *iv_job_exec_encode (const struct iv_job_exec *exec);
 
+/** Encode the record of the crashes that tasks of the job are suspected of. NULL when none ever
+ * was, or the record is too large. */
+GByteArray *iv_job_exec_encode_crashes (const struct iv_job_exec *exec);
+
 /** Length of the critical path of @a spec by estimated run times, milliseconds. */
 gint64 iv_job_critical_path_ms (const ivj_job *spec);
 
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -1,5 +1,6 @@
 #include "owner_private.h"
 
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 #include "sharing.h"
@@ -14,7 +15,6 @@
    age, and the deadline of a start, which is also a lease, must not be further away than a lease.
  */
 #define CLOCK_SAMPLE_MAX_MS 120000
-#define MIN_START_WINDOW_MS 100 /* for a start to arrive: failure domains are ms apart */
 
 /* Interference of a best-effort task per share of the host: none for most pairs of images, up to
    nine times the baseline tail latency for some. */
@@ -399,6 +399,7 @@
                              worker->fenced
                                  ? iv_worker_clock_min (worker, now_ms) - worker->lease_end_clock_ms
                                  : now_ms - silent_horizon_ms (owner, worker));
+      iv_crash_run_lapsed (owner, run);
       iv_run_remove (run);
       iv_owner_requeue_task (owner, &name, number, NULL);
     }
@@ -442,16 +443,19 @@
   const struct iv_owner_limits *limits = &owner->limits;
   owner->wall_ms = wall_ms;
   owner->valid_until_ms = authority->valid_until_ms;
+  if (authority->confirmed)
+    owner->confirmed_ms = now_ms;
   if (owner->deposed)
     return;
   iv_owner_check_previous_runs (owner, now_ms);
+  iv_crash_give_up (owner, now_ms);
   for (guint i = 0; i < owner->execs->len; i++)
     owner->needs_dispatch |= iv_job_exec_open_due (g_ptr_array_index (owner->execs, i), wall_ms);
   /* A delayed start must expire before the state of the failure domains that it relied on is too
      old. */
   owner->start_window_ms
       = MIN (limits->start_ms, limits->evidence_max_age_ms - authority->evidence_age_ms);
-  if (owner->start_window_ms >= MIN_START_WINDOW_MS && owner->workers_loaded)
+  if (owner->start_window_ms >= IV_MIN_START_WINDOW_MS && owner->workers_loaded)
     iv_owner_dispatch (owner, now_ms);
   if (authority->confirmed)
     iv_owner_move_jobs (owner, now_ms);
@@ -506,11 +510,19 @@
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
 }
 
+GByteArray *
+iv_owner_encode_crashes (const struct iv_job_entry *job)
+{
+  return job->exec ? iv_job_exec_encode_crashes (job->exec) : NULL;
+}
+
 void
 iv_owner_records_stored (struct iv_owner *owner, guint64 batch)
 {
   GHashTableIter iter;
   gpointer value;
+  owner->needs_dispatch |= owner->stored_batch < owner->crash_batch;
+  owner->stored_batch = MAX (owner->stored_batch, batch);
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -78,6 +78,7 @@
   double stretch;      /**< the objective allows this multiple of the longest chain of steps... */
   gint64 objective_ms; /**< ...plus this */
   gboolean advised;    /**< a start needs a ticket of the advice service */
+  gboolean checks_capacity; /**< the workers refuse what exceeds their capacity */
 };
 
 /** Request to start a run. */
@@ -114,6 +115,9 @@
   gint64 evidence_max_age_ms;
   /** Best-effort tasks must not keep a tail latency over its target for longer than this. */
   gint64 harm_ms;
+  /** Where workers start what exceeds their capacity: no start arrives when the entry of the worker
+   *  is older than this. */
+  gint64 capacity_max_age_ms;
   /** Reserve capacity for the loss of a rack: other cells cannot take over long-running jobs. */
   gboolean spare_rack;
 };
@@ -260,6 +264,10 @@
 /** Progress record of a collected job. NULL when it is too large. */
 GByteArray *iv_owner_encode_progress (const struct iv_job_entry *job);
 
+/** Record of the crashes that tasks of a collected job are suspected of, to be stored with its
+ *  progress record. NULL: there is none. */
+GByteArray *iv_owner_encode_crashes (const struct iv_job_entry *job);
+
 /** The record of @a job was not stored: collect it again. */
 void iv_owner_requeue_record (struct iv_owner *owner, struct iv_job_entry *job);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -9,6 +9,9 @@
 #include "interference.h"
 #include "owner.h"
 
+/** A start takes this long to arrive: failure domains are milliseconds apart. */
+#define IV_MIN_START_WINDOW_MS 100
+
 /** A worker that an advice query names. */
 struct iv_advice_candidate
 {
@@ -38,6 +41,7 @@
   gint64 start_window_ms; /**< a start that is sent now expires after this */
   gint64 wall_ms;         /**< wall clock of the present tick */
   gint64 valid_until_ms;  /**< replies that come later are ignored: see iv_owner_authority */
+  gint64 confirmed_ms;    /**< newest tick in which no other host could own the cell */
   gint64 next_load_log_ms;
   gboolean handed_over;         /**< only the workers in `unresolved` are waited for */
   GHashTable *unresolved;       /**< set of worker ids */
@@ -58,6 +62,9 @@
   gint64 next_advice_ms; /**< no advice query before */
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
   GPtrArray *unrecorded; /**< of struct iv_job_entry: progress to be recorded */
+  gboolean hopeless;     /**< a job is to be given up in the next tick */
+  guint64 crash_batch;   /**< collection that records the newest crash */
+  guint64 stored_batch;  /**< newest collection that was stored */
   guint64 batch;         /**< number of the newest collection of progress records */
 };
 
@@ -93,6 +100,13 @@
 gboolean iv_owner_is_other_instance (const struct iv_fleet_worker *worker, gint64 sent_ms,
                                      gint64 clock);
 
+/** Whether a start for @a worker is refused if another host owns the cell. While that is possible,
+ *  only an instance known from before is trusted: the next owner does not start what may run there
+ *  until it has replied to that owner, and then it knows the higher fence. A newer instance knows
+ * no fence, so the worker must have been heard from lately. */
+gboolean iv_owner_trusts_instance (const struct iv_owner *owner,
+                                   const struct iv_fleet_worker *worker, gint64 now_ms);
+
 /** The start of @a run may have been carried out by a newer instance, or may still be. A list of
  *  that instance proves it absent if it lacks the run after a stop, or after the start's deadline,
  *  which a worker compares with its own clock in whichever instance. */
@@ -151,9 +165,10 @@
   const struct iv_stage *stage;
   guint occurrence;
   const char *service;
-  const char *rack; /**< the only rack allowed; NULL: any */
-  guint32 workload; /**< image of the stage in the interference model */
-  gboolean advised; /**< only workers with a ticket */
+  const char *rack;         /**< the only rack allowed; NULL: any */
+  guint32 workload;         /**< image of the stage in the interference model */
+  gboolean advised;         /**< only workers with a ticket */
+  gboolean checks_capacity; /**< see struct iv_queue_policy */
   gboolean starved; /**< the job has had no run for a while: accept the least interference */
   gint64 now_ms;
 };
@@ -162,6 +177,10 @@
 struct iv_fleet_worker *iv_place_task (const struct iv_placement_query *query,
                                        const struct iv_job_task *task);
 
+/** When a start that is sent to @a worker now expires, on the clock of the worker. */
+gint64 iv_place_start_deadline (const struct iv_fleet_worker *worker,
+                                const struct iv_placement_query *query);
+
 /** Whether @a worker meets every constraint on the stage but the ticket. */
 gboolean iv_place_is_feasible (const struct iv_fleet_worker *worker,
                                const struct iv_placement_query *query);
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "advice.h"
+#include "crash.h"
 #include "event.h"
 #include "sharing.h"
 
@@ -34,6 +35,9 @@
     return;
   worker->sample_clock_ms = clock;
   worker->clock_sampled_at_ms = now_ms;
+  worker->alive_ms = now_ms;
+  if (worker->instance_alive_since_ms == 0)
+    worker->instance_alive_since_ms = now_ms;
 }
 
 static void
@@ -62,6 +66,18 @@
   return now_ms > owner->valid_until_ms;
 }
 
+/* Callers are told that a job runs once a worker has said so: a start that was sent may never
+   arrive. */
+static void
+note_running (struct iv_owner *owner, const struct iv_task_name *name)
+{
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
+  if (exec == NULL)
+    return;
+  iv_job_exec_running (exec);
+  iv_owner_queue_record (owner, exec);
+}
+
 void
 iv_owner_start_replied (struct iv_owner *owner, guint32 handle, const struct iv_task_name *name,
                         gint64 number, enum iv_command_outcome outcome, gint64 clock, gint64 now_ms)
@@ -69,6 +85,7 @@
   struct iv_fleet_worker *worker = iv_fleet_worker (owner->fleet, handle);
   struct iv_run *run = worker ? iv_run_find (worker, name, number) : NULL;
   gboolean other_instance;
+  const ivj_step *step;
   if (run == NULL || authority_expired (owner, now_ms))
     return;
   other_instance = iv_owner_is_other_instance (worker, run->sent_ms, clock);
@@ -92,6 +109,7 @@
     {
       run->phase = IV_RUN_PHASE_RUNNING;
       run->acked_clock_ms = clock;
+      note_running (owner, name);
       return;
     }
   iv_event (IV_LEVEL_INFO, "run.refused",
@@ -114,7 +132,10 @@
     worker->quarantined_until_ms
         = now_ms
           + (outcome == IV_COMMAND_NO_CAPACITY ? QUARANTINE_NO_CAPACITY_MS : QUARANTINE_REFUSED_MS);
+  step = run->step;
   iv_run_remove (run);
+  if (outcome == IV_COMMAND_NO_CAPACITY)
+    iv_worker_refused (worker, step);
   iv_owner_requeue_task (owner, name, number, NULL);
 }
 
@@ -239,6 +260,7 @@
   if (run)
     iv_run_remove (run);
   owner->needs_dispatch = TRUE;
+  note_running (owner, &end->name);
   if (end->reason == IV_END_DONE)
     worker->consecutive_failed_runs = 0;
   else if (end->reason == IV_END_FAILED && was_known)
@@ -251,6 +273,8 @@
       return;
     }
   task->run = MAX (task->run, end->number);
+  if (end->reason == IV_END_FAILED)
+    iv_crash_clear (owner, exec, task, &end->name);
   if (was_known)
     iv_owner_requeue_task (owner, &end->name, end->number, end->checkpoint);
   if (end->reason == IV_END_FAILED)
@@ -282,6 +306,7 @@
       return;
     }
   task->run = listed->number;
+  iv_crash_run_started (run, task);
 }
 
 static void
@@ -293,6 +318,7 @@
   if (instance_known && !run->listed)
     iv_owner_forget_lost_start (run);
   run->listed |= instance_known;
+  note_running (owner, &listed->name);
   run->reported_load = listed->reported_load;
   if (listed->percent != run->percent)
     {
@@ -420,6 +446,7 @@
       note_progress (owner, run, listed, reply->start_time_ms == worker->start_time_ms, now_ms);
     }
   drop_absent (owner, worker, reply, now_ms);
+  iv_crash_worker_replied (owner, worker);
   stop_stalled (owner, worker, now_ms);
   iv_sharing_update (owner, worker, now_ms);
 }
@@ -428,10 +455,12 @@
    leases until just now. Calls meant for the instance before may have given this one the longest
    lease, as they name times on another clock. */
 static void
-note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock)
+note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock,
+                  gint64 now_ms)
 {
   gint64 lease_ms = worker->restarted ? owner->limits.lease_max_ms : owner->limits.lease_ms;
   worker->fenced = TRUE;
+  worker->fenced_ms = now_ms;
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + lease_ms);
   owner->needs_dispatch = TRUE;
 }
@@ -448,8 +477,12 @@
     return;
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
+  worker->replaced |= outcome == IV_COMMAND_WRONG_INSTANCE;
   if (outcome == IV_COMMAND_WRONG_INSTANCE)
-    iv_owner_drop_runs (owner, worker, "another_answers");
+    {
+      iv_crash_worker_ended (owner, worker, "another_answers");
+      iv_owner_drop_runs (owner, worker, "another_answers");
+    }
   if (reply == NULL || outcome != IV_COMMAND_OK)
     {
       worker->failures++;
@@ -458,9 +491,11 @@
     }
   if (reply->start_time_ms > worker->start_time_ms)
     {
+      /* An instance may be of another kind: without capacity, it gets no tasks before its entry is
+         read. */
       struct iv_listed_worker listed
-          = { worker->id,     worker->service,  worker->address,  worker->domain,      worker->rack,
-              worker->labels, worker->capacity, worker->draining, reply->start_time_ms };
+          = { worker->id,     worker->service, worker->address,  worker->domain,      worker->rack,
+              worker->labels, { 0 },           worker->draining, reply->start_time_ms };
       gboolean was_listed = worker->listed;
       gboolean restarted;
       char *address = g_strdup (worker->address);
@@ -476,7 +511,7 @@
     return;
   note_reply (worker, reply->clock, now_ms);
   if (!worker->fenced)
-    note_first_reply (owner, worker, reply->clock);
+    note_first_reply (owner, worker, reply->clock, now_ms);
   apply_poll_reply (owner, worker, reply, now_ms);
   worker->next_poll_ms = now_ms;
   if (reply->ends->len > 0)
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,4 +1,5 @@
 #include "advice.h"
+#include "crash.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -34,6 +35,24 @@
   return count;
 }
 
+/* Until when the capacity in the entry of @a worker holds, on its clock. */
+static gint64
+capacity_valid_until (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  if (query->checks_capacity || worker->entry_clock_ms == 0)
+    return G_MAXINT64;
+  return worker->entry_clock_ms + query->owner->limits.capacity_max_age_ms;
+}
+
+gint64
+iv_place_start_deadline (const struct iv_fleet_worker *worker,
+                         const struct iv_placement_query *query)
+{
+  gint64 expires = iv_worker_clock (worker, query->now_ms) + query->owner->start_window_ms;
+  gint64 valid_until = capacity_valid_until (worker, query);
+  return MIN (expires, valid_until);
+}
+
 gboolean
 iv_place_is_feasible (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
 {
@@ -41,7 +60,10 @@
   const struct iv_owner *owner = query->owner;
   return worker->listed && worker->fenced && worker->recorded && !worker->draining
          && worker->failures == 0 && worker->quarantined_until_ms <= query->now_ms
+         && iv_owner_trusts_instance (owner, worker, query->now_ms)
          && strcmp (worker->service, query->service) == 0 && iv_worker_has_capacity (worker, step)
+         && iv_worker_clock (worker, query->now_ms) + IV_MIN_START_WINDOW_MS
+                <= capacity_valid_until (worker, query)
          && has_label (worker, step->label)
          && (query->rack == NULL || strcmp (query->rack, worker->rack) == 0)
          && owner->effects.is_domain_in_service (owner->effects.context, worker->domain)
@@ -86,6 +108,8 @@
     value += SCORE_DATA_LOCAL;
   if (task->avoid_worker == worker->handle)
     value += SCORE_AVOID;
+  if (task->crashes > 0)
+    value += iv_crash_score (worker);
   if (step->target_ms > 0)
     value += image_affinity (worker, query->workload);
   return value;
@@ -112,6 +136,7 @@
 iv_place_task (const struct iv_placement_query *query, const struct iv_job_task *task)
 {
   struct iv_fleet_worker *best = NULL;
+  struct iv_fleet_worker *busy = NULL; /* the best that would do without its newest runs */
   gint64 best_score = 0;
   gboolean best_effort = (query->stage->step->flags & IVJ_BEST_EFFORT) != 0;
   GHashTableIter iter;
@@ -122,6 +147,11 @@
       gint64 points;
       if (!is_usable (value, query))
         continue;
+      if (!iv_crash_admits (value, task, query->now_ms))
+        {
+          busy = iv_crash_better_busy (busy, value, task, query->now_ms);
+          continue;
+        }
       points = score (value, query, task);
       if ((best && points <= best_score)
           || (best_effort && !score_best_effort (value, query, &points)))
@@ -132,5 +162,7 @@
           best_score = points;
         }
     }
+  if (best == NULL && busy)
+    iv_crash_reserve (query->owner, busy, task, query->now_ms);
   return best;
 }
--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -1,15 +1,17 @@
 #include "owner_private.h"
 
+#include "crash.h"
 #include "event.h"
 #include "histogram.h"
 
-/* Whether runs of a previous owner may exist on a worker that has not replied yet. A worker that
+/* Whether runs of a previous owner may exist on a worker that has not replied yet. None do where
+   another instance answers at the worker's address. A worker that
    drained and left the list has ended all its runs, but it may also have lost the store: what the
    previous owner reported of it counts more. */
 static gboolean
 is_awaited (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  if (worker->fenced)
+  if (worker->fenced || (worker->replaced && !worker->listed))
     return FALSE;
   if (owner->handed_over)
     return g_hash_table_contains (owner->unresolved, worker->id);
@@ -83,6 +85,7 @@
   if (owner->previous_runs_known || !are_previous_runs_known (owner, now_ms))
     return;
   owner->previous_runs_known = TRUE;
+  iv_crash_previous_runs_known (owner);
   owner->needs_dispatch = TRUE;
   iv_histogram_add (
       iv_histogram_get ("ibisvane_settle_ms", "From owning a cell to starting everything in it."),
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -6,6 +6,7 @@
 #define CALL_LATENCY_MS 4    /* from a call to its reply */
 #define ADVICE_LATENCY_MS 50 /* from an advice query to its reply */
 #define CALL_TIMEOUT_MS 800
+#define HEARTBEAT_MS 1000 /* from the start of an instance to the reading of its entry */
 
 enum call_kind
 {
@@ -138,7 +139,8 @@
 on_queue (void *context, const char *host, const char *prefix, struct iv_queue_policy *policy)
 {
   struct sim *sim = context;
-  *policy = (struct iv_queue_policy){ "service", 0, sim->attempts, 2.0, 1000, sim->advised };
+  *policy = (struct iv_queue_policy){ "service",      0, sim->attempts, 2.0, 1000, sim->advised,
+                                      !sim->unguarded };
   return TRUE;
 }
 
@@ -185,10 +187,48 @@
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, end_clock_ms);
 }
 
+static struct iv_resources
+resources_of (const struct sim *sim, const struct iv_task_name *name)
+{
+  const struct iv_job_entry *job = iv_job_table_find (sim->job_table, name->job);
+  const ivj_step *step = &job->spec.steps.steps_val[name->step];
+  return (struct iv_resources){ step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli, step->mem_mb,
+                                step->accelerators };
+}
+
+/* Whether the runs of @a worker, those that are being stopped among them, and @a run exceed its
+   capacity. */
+static gboolean
+exceeds_capacity (const struct sim_worker *worker, const struct sim_run *run)
+{
+  struct iv_resources used = run->resources;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct sim_run *other = &g_array_index (worker->runs, struct sim_run, i);
+      used.cpu_milli += other->resources.cpu_milli;
+      used.mem_mb += other->resources.mem_mb;
+      used.accelerators += other->resources.accelerators;
+    }
+  return used.cpu_milli > worker->capacity_milli || used.mem_mb > worker->mem_mb
+         || used.accelerators > worker->accelerators;
+}
+
+static void
+note_deadly_start (struct sim *sim, struct sim_worker *worker, const struct iv_task_name *name)
+{
+  if (sim->is_deadly == NULL || !sim->is_deadly (name))
+    return;
+  sim->deadly_starts[name->index % SIM_DEADLY_MAX]++;
+  worker->crash_ms = sim->now_ms + sim->crash_after_ms;
+  worker->holds_suspect = sim->deadly_starts[name->index % SIM_DEADLY_MAX] > 1;
+}
+
 static enum iv_command_outcome
 handle_start (struct sim *sim, struct sim_worker *worker, const struct sim_call *call)
 {
-  struct sim_run run = { .name = call->name, .number = call->number, .cpu_limit_percent = 100 };
+  struct sim_run run = {
+    .name = call->name, .number = call->number, .started_ms = sim->now_ms, .cpu_limit_percent = 100
+  };
   if (call->until < worker->clock)
     return IV_COMMAND_EXPIRED;
   if (is_in (worker->ends, call) || is_in (worker->stopped, call))
@@ -204,7 +244,19 @@
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_same_task (&g_array_index (worker->runs, struct sim_run, i).name, &call->name))
       return IV_COMMAND_OK;
+  run.resources = resources_of (sim, &call->name);
+  if (exceeds_capacity (worker, &run))
+    {
+      if (worker->checks_capacity)
+        {
+          sim->refused_starts++;
+          return IV_COMMAND_NO_CAPACITY;
+        }
+      sim->over_capacity++;
+    }
+  sim->beside_suspect += worker->holds_suspect;
   g_array_append_val (worker->runs, run);
+  note_deadly_start (sim, worker, &call->name);
   return IV_COMMAND_OK;
 }
 
@@ -214,10 +266,13 @@
   struct iv_listed_end stopped = { .name = call->name, .number = call->number };
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
       if (is_same_task (&run->name, &call->name) && run->number == call->number)
         {
-          end_run (worker, i, IV_END_STOPPED);
+          if (worker->stop_grace_ms == 0)
+            end_run (worker, i, IV_END_STOPPED);
+          else if (run->stop_clock_ms == 0)
+            run->stop_clock_ms = worker->clock + worker->stop_grace_ms;
           return IV_COMMAND_OK;
         }
     }
@@ -257,6 +312,12 @@
   struct sim_worker *worker = &sim->workers[call->worker];
   call->done = TRUE;
   call->clock = worker->clock;
+  if (worker->replaced)
+    {
+      call->outcome = IV_COMMAND_WRONG_INSTANCE;
+      call->clock = 0;
+      return;
+    }
   if (call->term < worker->fence)
     {
       call->outcome = IV_COMMAND_FENCED;
@@ -380,6 +441,65 @@
     }
 }
 
+static void
+end_stopped_runs (struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; i-- > 0;)
+    {
+      gint64 stop_clock_ms = g_array_index (worker->runs, struct sim_run, i).stop_clock_ms;
+      if (stop_clock_ms > 0 && worker->clock >= stop_clock_ms)
+        end_run (worker, i, IV_END_STOPPED);
+    }
+}
+
+void
+sim_drain_worker (struct sim *sim, guint i)
+{
+  sim->workers[i].draining = TRUE;
+  sim_list_worker (sim, i);
+}
+
+void
+sim_crash_worker (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  g_array_set_size (worker->runs, 0);
+  worker->crash_ms = 0;
+  worker->holds_suspect = FALSE;
+  worker->next_entry_ms = 0;
+  worker->back_ms = sim->now_ms + SIM_DOWN_MS;
+  worker->unreachable = TRUE;
+}
+
+/* Crashes the worker, or brings it back, when it is time. */
+static void
+advance_crash (struct sim *sim, guint i)
+{
+  struct sim_worker *worker = &sim->workers[i];
+  if (worker->crash_ms > 0 && sim->now_ms >= worker->crash_ms)
+    sim_crash_worker (sim, i);
+  if (worker->back_ms == 0 || sim->now_ms < worker->back_ms)
+    return;
+  worker->back_ms = 0;
+  worker->unreachable = FALSE;
+  sim_restart_worker (sim, i);
+  if (sim->owner)
+    sim_list_worker (sim, i);
+}
+
+/* Ends the runs on @a worker that are done. */
+static void
+end_done_runs (const struct sim *sim, struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; sim->run_ms > 0 && i-- > 0;)
+    {
+      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      if (sim->now_ms >= run->started_ms + sim->run_ms
+          && (sim->is_deadly == NULL || !sim->is_deadly (&run->name)))
+        end_run (worker, i, IV_END_DONE);
+    }
+}
+
 static void
 advance_workers (struct sim *sim)
 {
@@ -389,13 +509,41 @@
       worker->clock_rest += TICK_MS * (100 - worker->clock_slow_percent);
       worker->clock += worker->clock_rest / 100;
       worker->clock_rest %= 100;
+      end_stopped_runs (worker);
       for (guint j = 0; !sim->stalled && j < worker->runs->len; j++)
         g_array_index (worker->runs, struct sim_run, j).percent = worker->clock / 200 % 100;
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
         end_run (worker, 0, IV_END_LEASE_EXPIRED);
+      end_done_runs (sim, worker);
+      advance_crash (sim, i);
+    }
+}
+
+static void
+read_entries (struct sim *sim)
+{
+  for (guint i = 0; i < sim->count; i++)
+    {
+      struct sim_worker *worker = &sim->workers[i];
+      if (worker->next_entry_ms == 0 || sim->now_ms < worker->next_entry_ms)
+        continue;
+      worker->next_entry_ms = 0;
+      sim_list_worker (sim, i);
     }
 }
 
+static void
+store_record (struct sim *sim, const struct iv_job_entry *job, const char *suffix,
+              GByteArray *bytes)
+{
+  char key[IV_JOB_ID_LEN + 8];
+  if (bytes == NULL)
+    return;
+  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
+  iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
+  g_byte_array_free (bytes, TRUE);
+}
+
 static void
 store_progress (struct sim *sim)
 {
@@ -407,11 +555,8 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      GByteArray *bytes = iv_owner_encode_progress (job);
-      char key[IV_JOB_ID_LEN + 8];
-      g_snprintf (key, sizeof key, "%s" IV_KEY_PROGRESS, job->id);
-      iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
-      g_byte_array_free (bytes, TRUE);
+      store_record (sim, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
+      store_record (sim, job, IV_KEY_PROGRESS, iv_owner_encode_progress (job));
     }
   iv_owner_records_stored (sim->owner, batch);
   g_ptr_array_free (jobs, TRUE);
@@ -448,6 +593,7 @@
       reply_to_advice_query (sim);
       if (sim->owner)
         {
+          read_entries (sim);
           iv_owner_tick (sim->owner, &authority, sim->now_ms, sim->wall_ms);
           store_progress (sim);
           store_roster (sim);
@@ -471,12 +617,14 @@
   sim->store_records = TRUE;
   sim->store_rosters = TRUE;
   sim->attempts = 3;
+  sim->crash_after_ms = 10;
   sim->limits = (struct iv_owner_limits){ .lease_ms = 5000,
                                           .lease_max_ms = SIM_LEASE_MAX_MS,
                                           .start_ms = 1500,
                                           .horizon_ms = 8600,
                                           .evidence_max_age_ms = 5000,
-                                          .harm_ms = 4000 };
+                                          .harm_ms = 4000,
+                                          .capacity_max_age_ms = 4000 };
   for (guint i = 0; i < workers; i++)
     {
       struct sim_worker *worker = &sim->workers[i];
@@ -486,6 +634,7 @@
       worker->clock = 5000 + 777 * i;
       worker->start_time_ms = 1;
       worker->capacity_milli = 4000;
+      worker->mem_mb = 100000;
       worker->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
       worker->ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
       worker->stopped = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
@@ -513,25 +662,31 @@
   g_free (sim);
 }
 
+void
+sim_list_worker (struct sim *sim, guint i)
+{
+  const struct sim_worker *worker = &sim->workers[i];
+  char *labels[] = { "kind", (char *)worker->rack, NULL };
+  struct iv_listed_worker listed
+      = { .id = worker->id,
+          .service = "service",
+          .address = "127.0.0.1:1",
+          .domain = worker->domain,
+          .rack = worker->rack,
+          .labels = labels,
+          .capacity = { worker->capacity_milli, worker->mem_mb, worker->accelerators },
+          .draining = worker->draining,
+          .start_time_ms = worker->start_time_ms,
+          .clock_ms = worker->clock - worker->entry_age_ms };
+  iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
+}
+
 void
 sim_list_workers (struct sim *sim)
 {
   for (guint i = 0; i < sim->count; i++)
-    {
-      const struct sim_worker *worker = &sim->workers[i];
-      char *labels[] = { "kind", (char *)worker->rack, NULL };
-      struct iv_listed_worker listed = { .id = worker->id,
-                                         .service = "service",
-                                         .address = "127.0.0.1:1",
-                                         .domain = worker->domain,
-                                         .rack = worker->rack,
-                                         .labels = labels,
-                                         .capacity = { worker->capacity_milli, 100000, 0 },
-                                         .draining = worker->draining,
-                                         .start_time_ms = worker->start_time_ms };
-      if (!worker->unlisted)
-        iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
-    }
+    if (!sim->workers[i].unlisted)
+      sim_list_worker (sim, i);
   iv_owner_worker_list_loaded (sim->owner);
 }
 
@@ -603,6 +758,7 @@
       struct sim_call *call = g_ptr_array_index (sim->calls, j);
       call->dropped |= call->worker == i && !call->done;
     }
+  worker->next_entry_ms = sim->now_ms + HEARTBEAT_MS;
 }
 
 void
@@ -615,6 +771,12 @@
     iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, id), sim->now_ms);
 }
 
+void
+sim_forget_job (struct sim *sim, const char *id)
+{
+  iv_job_table_remove (sim->job_table, id);
+}
+
 gboolean
 sim_end_run (struct sim *sim, const char *id, guint step, guint index, enum iv_end_reason reason)
 {
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -38,6 +38,68 @@
   sim_free (sim);
 }
 
+/* A start that was sent may never arrive, or seconds later. A job is running once a worker has
+   confirmed or listed a run, or the end of one; until then it counts as pending. */
+static void
+test_job_is_queued_until_a_run_is_known (void **state)
+{
+  static const struct
+  {
+    gboolean unreachable;
+    gboolean drops_replies;
+    gint64 start_delay_ms;
+  } rows[] = { { TRUE, FALSE, 0 }, { FALSE, TRUE, 0 }, { FALSE, FALSE, 600 } };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = sim_new (1);
+      sim_start_owner (sim);
+      sim_advance (sim, 100);
+      sim->workers[0].unreachable = rows[i].unreachable;
+      sim->workers[0].drops_replies = rows[i].drops_replies;
+      sim->workers[0].start_delay_ms = rows[i].start_delay_ms;
+      sim_make_job (1, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 400);
+      assert_int_equal (sim->start_calls, 1);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_QUEUED);
+      assert_int_equal (iv_job_table_pending (sim->job_table, "x", "x"), 1);
+      sim->workers[0].unreachable = sim->workers[0].drops_replies = FALSE;
+      sim_advance (sim, 4000);
+      assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+      assert_int_equal (iv_job_table_pending (sim->job_table, "x", "x"), 0);
+      sim_free (sim);
+    }
+}
+
+/* The owner fails before it records that a job runs; the next one finds its run, or its end. */
+static void
+test_adopted_job_is_running (void **state)
+{
+  static const gboolean ends[] = { FALSE, TRUE };
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      struct sim *sim = sim_new (1);
+      sim_start_owner (sim);
+      sim->store_records = FALSE;
+      sim_make_job (2, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 100);
+      assert_int_equal (sim_total_runs (sim), 2);
+      if (ends[i])
+        {
+          sim_end_run (sim, JOB_ID, 0, 0, IV_END_FAILED);
+          sim_end_run (sim, JOB_ID, 0, 1, IV_END_DONE);
+          sim->domain_a_out = TRUE; /* no other start shows that the job runs */
+        }
+      sim->store_records = TRUE;
+      sim_start_owner (sim);
+      sim_advance (sim, 100);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+      sim_free (sim);
+    }
+}
+
 static void
 test_capacity_is_not_exceeded (void **state)
 {
@@ -117,6 +179,47 @@
   sim_free (sim);
 }
 
+/* Replaces the worker that runs the only task by another one, then takes over. */
+static struct sim *
+take_over_after_replacement (void)
+{
+  struct sim *sim = sim_new (4);
+  own_with_one_task (sim);
+  sim_advance (sim, 100);
+  for (guint i = 0; i < sim->count; i++)
+    {
+      sim->workers[i].replaced = sim->workers[i].runs->len > 0;
+      g_array_set_size (sim->workers[i].runs, 0);
+    }
+  sim_start_owner (sim);
+  return sim;
+}
+
+/* A worker that crashed comes back under another id. Waiting for the old one kept every inherited
+   task back for the horizon after a takeover. */
+static void
+test_new_owner_ignores_replaced_unlisted_workers (void **state)
+{
+  struct sim *sim = take_over_after_replacement ();
+  for (guint i = 0; i < sim->count; i++)
+    if (sim->workers[i].replaced)
+      iv_owner_worker_unlisted (sim->owner, sim->workers[i].id, sim->now_ms);
+  sim_advance (sim, 300);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
+/* While the platform lists a worker, the entry that was read may be of an earlier instance, and the
+   one that answers may have runs. */
+static void
+test_new_owner_waits_for_replaced_listed_workers (void **state)
+{
+  struct sim *sim = take_over_after_replacement ();
+  sim_advance (sim, 1000);
+  assert_int_equal (sim->start_calls, 1);
+  sim_free (sim);
+}
+
 /* A worker that drained and left the list has no runs. Long-running tasks must not wait for it, as
    they did with seed 358137797502 of the mixed workload. */
 static void
@@ -636,11 +739,15 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_steps_in_order),
+    cmocka_unit_test (test_job_is_queued_until_a_run_is_known),
+    cmocka_unit_test (test_adopted_job_is_running),
     cmocka_unit_test (test_capacity_is_not_exceeded),
     cmocka_unit_test (test_runs_survive_owner_change),
     cmocka_unit_test (test_new_owner_waits_for_silent_workers),
     cmocka_unit_test (test_new_owner_waits_for_recently_unlisted_workers),
     cmocka_unit_test (test_new_owner_ignores_drained_unlisted_workers),
+    cmocka_unit_test (test_new_owner_ignores_replaced_unlisted_workers),
+    cmocka_unit_test (test_new_owner_waits_for_replaced_listed_workers),
     cmocka_unit_test (test_handover_limits_waiting_to_unresolved_workers),
     cmocka_unit_test (test_new_jobs_start_despite_silent_workers),
     cmocka_unit_test (test_unconfirmed_owner_does_not_requeue_expired_runs),
