--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -3,8 +3,8 @@
 #include "event.h"
 #include "owner_private.h"
 
-/* A worker that is alive this long after the start of a run has survived it. Tasks that crash
-   their workers were seen to do so within some 10 ms; lists come every 500 ms. */
+/* A worker that is alive this long after the start of a run has survived it. One interval between
+   lists, so that a proof takes two lists at most. */
 #define PROBATION_MS 500
 /* Last replies of workers that end together are this close: a poll is held for 500 ms. */
 #define TOGETHER_MS 700
--- a/jobs/rebirth.c
+++ b/jobs/rebirth.c
@@ -3,7 +3,7 @@
 #include "crash.h"
 #include "event.h"
 
-#define LATE_START_MAX_MS 15000 /* calls are carried out up to 12 s late, as seen */
+#define LATE_START_MAX_MS 15000 /* a start without a reply is not carried out later */
 /* A worker does not restart in less; an idle one is polled twice in it while unconfirmed. */
 #define INSTANCE_SEEN_MS 1200
 #define CLOCK_SLOW_MARGIN_PERCENT 102 /* a lease on the slowest clock permitted */
