Log why long-running tasks wait

The conditions on a worker become a table with names; each second that tasks of a long-running stage wait, stage.waiting counts the workers by the condition that fails, and the free cores of those that only lack capacity.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -12,6 +12,8 @@
 #define DISPATCH_INTERVAL_MS 250 /* tail latencies and waiting times change without an event */
 /* A job without a run for 3 s counts as lost; this leaves time to repeat a lost start. */
 #define STARVED_AFTER_MS 500
+/* Long-running tasks that wait are logged after this long, and then at this interval. */
+#define WAIT_LOG_INTERVAL_MS 1000
 
 /* A job with its scheduling order. */
 struct candidate
@@ -243,6 +245,26 @@
   return NULL;
 }
 
+static void
+note_waiting (struct iv_stage *stage, const struct iv_placement_query *query)
+{
+  gint64 now_ms = query->now_ms;
+  if (stage->done + stage->placed == stage->step->count)
+    {
+      stage->waiting_since_ms = 0;
+      return;
+    }
+  if (stage->waiting_since_ms == 0)
+    {
+      stage->waiting_since_ms = now_ms;
+      stage->next_wait_log_ms = now_ms + WAIT_LOG_INTERVAL_MS;
+    }
+  if (!(stage->step->flags & IVJ_LONG_RUNNING) || now_ms < stage->next_wait_log_ms)
+    return;
+  stage->next_wait_log_ms = now_ms + WAIT_LOG_INTERVAL_MS;
+  iv_place_log_waiting (query, now_ms - stage->waiting_since_ms);
+}
+
 static void
 dispatch_stage (struct iv_owner *owner, const struct candidate *candidate,
                 struct iv_occurrence *occurrence, struct iv_stage *stage, gint64 now_ms)
@@ -273,6 +295,7 @@
     dispatch_gang (owner, &query, exec, stage, &name, now_ms);
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
+  note_waiting (stage, &query);
 }
 
 static void
@@ -285,8 +308,9 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           struct iv_stage *stage = &occurrence->stages[j];
-          if (stage->done + stage->placed < stage->step->count
-              && iv_stage_ready (occurrence, stage))
+          if (stage->done + stage->placed == stage->step->count)
+            stage->waiting_since_ms = 0;
+          else if (iv_stage_ready (occurrence, stage))
             dispatch_stage (owner, candidate, occurrence, stage, now_ms);
         }
     }
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -42,6 +42,8 @@
   guint done;                /**< tasks in state IV_JOB_TASK_DONE */
   guint placed;              /**< tasks in state IV_JOB_TASK_PLACED */
   gboolean runs_known;       /**< no previous owner can have started any of its tasks */
+  gint64 waiting_since_ms;   /**< since when some of its tasks could not be placed; 0: none is */
+  gint64 next_wait_log_ms;   /**< when to log next that they wait */
   double baseline_tail_ms;   /**< tail latency of its latency-critical tasks without
                                 interference; 0: unknown */
   struct iv_advice *advice;  /**< tickets for its tasks; NULL: none were requested */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -189,4 +189,8 @@
 gboolean iv_place_is_feasible (const struct iv_fleet_worker *worker,
                                const struct iv_placement_query *query);
 
+/** Log that tasks of the stage have waited for @a waited_ms: how many workers each condition keeps
+ *  them from, and the free cores of those that only lack capacity. */
+void iv_place_log_waiting (const struct iv_placement_query *query, gint64 waited_ms);
+
 #endif
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,5 +1,6 @@
 #include "advice.h"
 #include "crash.h"
+#include "event.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -53,28 +54,175 @@
   return MIN (expires, valid_until);
 }
 
+static gboolean
+is_available (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  (void)query;
+  return worker->listed && worker->fenced && worker->recorded && !worker->draining
+         && worker->failures == 0;
+}
+
+static gboolean
+is_out_of_quarantine (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return worker->quarantined_until_ms <= query->now_ms;
+}
+
+static gboolean
+is_trusted (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return iv_owner_trusts_instance (query->owner, worker, query->now_ms);
+}
+
+static gboolean
+is_of_service (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return strcmp (worker->service, query->service) == 0;
+}
+
+static gboolean
+has_capacity (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return iv_worker_has_capacity (worker, query->stage->step);
+}
+
+static gboolean
+is_capacity_recent (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return iv_worker_clock (worker, query->now_ms) + IV_MIN_START_WINDOW_MS
+         <= capacity_valid_until (worker, query);
+}
+
+static gboolean
+has_required_label (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return has_label (worker, query->stage->step->label);
+}
+
+static gboolean
+is_in_rack (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return query->rack == NULL || strcmp (query->rack, worker->rack) == 0;
+}
+
+static gboolean
+is_in_service (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  const struct iv_owner_effects *effects = &query->owner->effects;
+  return effects->is_domain_in_service (effects->context, worker->domain);
+}
+
+static gboolean
+is_below_worker_max (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  guint max = query->stage->step->per_worker_max;
+  return max == 0 || count_stage_runs (worker, query) < max;
+}
+
+static gboolean
+has_ticket (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return !query->advised || iv_advice_ticket (query->stage->advice, worker, query->now_ms);
+}
+
+/* Conditions on a worker, cheap ones first; a ticket is requested only where the others hold. */
+enum
+{
+  CONDITION_AVAILABLE,
+  CONDITION_QUARANTINE,
+  CONDITION_TRUST,
+  CONDITION_SERVICE,
+  CONDITION_CAPACITY,
+  CONDITION_CAPACITY_AGE,
+  CONDITION_LABEL,
+  CONDITION_RACK,
+  CONDITION_DOMAIN,
+  CONDITION_WORKER_MAX,
+  CONDITION_TICKET,
+  CONDITIONS
+};
+
+static const struct
+{
+  const char *name;
+  gboolean (*holds) (const struct iv_fleet_worker *worker, const struct iv_placement_query *query);
+} conditions[CONDITIONS] = {
+  [CONDITION_AVAILABLE] = { "unavailable", is_available },
+  [CONDITION_QUARANTINE] = { "quarantined", is_out_of_quarantine },
+  [CONDITION_TRUST] = { "untrusted", is_trusted },
+  [CONDITION_SERVICE] = { "other_service", is_of_service },
+  [CONDITION_CAPACITY] = { "full", has_capacity },
+  [CONDITION_CAPACITY_AGE] = { "old_entry", is_capacity_recent },
+  [CONDITION_LABEL] = { "other_label", has_required_label },
+  [CONDITION_RACK] = { "other_rack", is_in_rack },
+  [CONDITION_DOMAIN] = { "out_of_service", is_in_service },
+  [CONDITION_WORKER_MAX] = { "at_worker_max", is_below_worker_max },
+  [CONDITION_TICKET] = { "no_ticket", has_ticket },
+};
+
+static gboolean
+hold (const struct iv_fleet_worker *worker, const struct iv_placement_query *query, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    if (!conditions[i].holds (worker, query))
+      return FALSE;
+  return TRUE;
+}
+
 gboolean
 iv_place_is_feasible (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
 {
-  const ivj_step *step = query->stage->step;
-  const struct iv_owner *owner = query->owner;
-  return worker->listed && worker->fenced && worker->recorded && !worker->draining
-         && worker->failures == 0 && worker->quarantined_until_ms <= query->now_ms
-         && iv_owner_trusts_instance (owner, worker, query->now_ms)
-         && strcmp (worker->service, query->service) == 0 && iv_worker_has_capacity (worker, step)
-         && iv_worker_clock (worker, query->now_ms) + IV_MIN_START_WINDOW_MS
-                <= capacity_valid_until (worker, query)
-         && has_label (worker, step->label)
-         && (query->rack == NULL || strcmp (query->rack, worker->rack) == 0)
-         && owner->effects.is_domain_in_service (owner->effects.context, worker->domain)
-         && (step->per_worker_max == 0 || count_stage_runs (worker, query) < step->per_worker_max);
+  return hold (worker, query, CONDITION_TICKET);
 }
 
 static gboolean
 is_usable (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
 {
-  return iv_place_is_feasible (worker, query)
-         && (!query->advised || iv_advice_ticket (query->stage->advice, worker, query->now_ms));
+  return hold (worker, query, CONDITIONS);
+}
+
+/* The condition that keeps the stage off @a worker: lack of capacity only if it is the only one;
+   CONDITIONS if all hold. */
+static guint
+find_refusal (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  for (guint i = 0; i < CONDITIONS; i++)
+    if (i != CONDITION_CAPACITY && !conditions[i].holds (worker, query))
+      return i;
+  return has_capacity (worker, query) ? CONDITIONS : CONDITION_CAPACITY;
+}
+
+void
+iv_place_log_waiting (const struct iv_placement_query *query, gint64 waited_ms)
+{
+  const struct iv_stage *stage = query->stage;
+  guint refusals[CONDITIONS + 1] = { 0 };
+  gint64 free_milli = 0;
+  gint64 largest_milli = 0;
+  GString *counts = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, query->owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      guint refusal = find_refusal (value, query);
+      refusals[refusal]++;
+      if (refusal != CONDITION_CAPACITY)
+        continue;
+      free_milli += iv_worker_free_milli (value);
+      largest_milli = MAX (largest_milli, iv_worker_free_milli (value));
+    }
+  for (guint i = 0; i < CONDITIONS; i++)
+    if (refusals[i] > 0)
+      g_string_append_printf (counts, " %s=%u", conditions[i].name, refusals[i]);
+  iv_event (IV_LEVEL_INFO, "stage.waiting",
+            "job=%s step=%u tasks=%u waited_ms=%" G_GINT64_FORMAT
+            " needs_milli=%u needs_mb=%u free_milli=%" G_GINT64_FORMAT
+            " largest_milli=%" G_GINT64_FORMAT " usable=%u%s",
+            query->job->id, stage->number, stage->step->count - stage->done - stage->placed,
+            waited_ms, stage->step->cpu_milli, stage->step->mem_mb, free_milli, largest_milli,
+            refusals[CONDITIONS], counts->str);
+  g_string_free (counts, TRUE);
 }
 
 /* Groups latency-critical tasks by image, so that best-effort tasks find workers on which they do
