--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -359,6 +359,24 @@
   return FALSE;
 }
 
+void
+sim_end_oldest_run (struct sim *sim, guint worker, const char *id)
+{
+  struct sim_worker *w = &sim->workers[worker];
+  const struct sim_run *oldest = NULL;
+  guint place = 0;
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const struct sim_run *run = &g_array_index (w->runs, struct sim_run, i);
+      if (strcmp (run->name.job, id) != 0 || (oldest && run->started_ms >= oldest->started_ms))
+        continue;
+      oldest = run;
+      place = i;
+    }
+  if (oldest)
+    sim_worker_end_run (w, place, IV_END_DONE);
+}
+
 void
 sim_end_all_runs (struct sim *sim, enum iv_end_reason reason)
 {
@@ -403,6 +421,25 @@
   return count;
 }
 
+guint
+sim_worker_runs (const struct sim *sim, guint worker, const char *id)
+{
+  const GArray *runs = sim->workers[worker].runs;
+  guint count = 0;
+  for (guint i = 0; i < runs->len; i++)
+    count += strcmp (g_array_index (runs, struct sim_run, i).name.job, id) == 0;
+  return count;
+}
+
+guint
+sim_job_runs (const struct sim *sim, const char *id)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->count; i++)
+    count += sim_worker_runs (sim, i, id);
+  return count;
+}
+
 enum ivj_state
 sim_job_state (const struct sim *sim, const char *id)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -144,6 +144,9 @@
 gboolean sim_end_run (struct sim *sim, const char *id, guint step, guint index,
                       enum iv_end_reason reason);
 
+/** End, as done, the run that worker @a worker has had longest of the tasks of job @a id. */
+void sim_end_oldest_run (struct sim *sim, guint worker, const char *id);
+
 /** End all runs. */
 void sim_end_all_runs (struct sim *sim, enum iv_end_reason reason);
 
@@ -156,6 +159,10 @@
 /** Present number of runs on all workers. */
 guint sim_total_runs (const struct sim *sim);
 
+/** Present number of runs of the tasks of job @a id, on one worker and on all. */
+guint sim_worker_runs (const struct sim *sim, guint worker, const char *id);
+guint sim_job_runs (const struct sim *sim, const char *id);
+
 /** State of a job as recorded. */
 enum ivj_state sim_job_state (const struct sim *sim, const char *id);
 
