Reserve workers for long-running tasks

Callers saw lasting work down while lesser work was started. Cause: first in the queue was not first at the cores. A long-running task that needs more than any worker has in one piece was skipped, and every piece that became free went to the tasks behind it within milliseconds; nothing collected room for it (stage.waiting: full=130 of 130 workers, 105 to 236 cores free, 4.8 at most in one piece, for 22 s). Class: backfill without a reservation starves what is large. Now the worker that lacks least, and can hold the task once its batch tasks have ended, is reserved: nothing else starts there until the task fits. The reservations of tasks under suspicion use the same table entry. The same cause acted on tickets of the advice service, which were requested only for workers with capacity.

--- a/jobs/advice.c
+++ b/jobs/advice.c
@@ -81,16 +81,18 @@
   return free_x > free_y ? -1 : free_x < free_y;
 }
 
-/* Feasible workers that are not denied, most free cores first. */
+/* Workers that meet @a condition and are not denied, most free cores first. */
 static GPtrArray *
-list_candidates (const struct iv_placement_query *query, const struct iv_stage *stage)
+list_candidates (const struct iv_placement_query *query, const struct iv_stage *stage,
+                 gboolean (*condition) (const struct iv_fleet_worker *worker,
+                                        const struct iv_placement_query *query))
 {
   GPtrArray *workers = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, query->owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (iv_place_is_feasible (value, query) && !iv_advice_is_denied (stage->advice, value))
+    if (condition (value, query) && !iv_advice_is_denied (stage->advice, value))
       g_ptr_array_add (workers, value);
   g_ptr_array_sort (workers, compare_free_cpu);
   return workers;
@@ -105,7 +107,13 @@
   gboolean have_ticket = FALSE;
   if (pending->outstanding || query->now_ms < owner->next_advice_ms)
     return;
-  workers = list_candidates (query, stage);
+  workers = list_candidates (query, stage, iv_place_is_feasible);
+  /* A worker is reserved only with a ticket. */
+  if (workers->len == 0)
+    {
+      g_ptr_array_free (workers, TRUE);
+      workers = list_candidates (query, stage, iv_place_may_become_feasible);
+    }
   for (guint i = 0; i < workers->len; i++)
     have_ticket
         |= iv_advice_ticket (stage->advice, g_ptr_array_index (workers, i), query->now_ms) != NULL;
--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -2,6 +2,7 @@
 
 #include "event.h"
 #include "owner_private.h"
+#include "reserve.h"
 
 /* A worker that is alive this long after the start of a run has survived it. One interval between
    lists, so that a proof takes two lists at most. */
@@ -317,24 +318,14 @@
 void
 iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task)
 {
-  struct iv_fleet_worker *worker = run->worker;
   run->suspect = task->crashes > 0;
-  worker->suspects += run->suspect ? 1 : 0;
-  if (worker->reserved_for == task)
-    worker->reserved_for = NULL;
-}
-
-static gboolean
-is_reserved (const struct iv_fleet_worker *worker, gint64 now_ms)
-{
-  return worker->reserved_for && now_ms < worker->reserved_until_ms;
+  run->worker->suspects += run->suspect ? 1 : 0;
 }
 
 gboolean
-iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
-                 gint64 now_ms)
+iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task)
 {
-  if (worker->suspects > 0 || (is_reserved (worker, now_ms) && worker->reserved_for != task))
+  if (worker->suspects > 0)
     return FALSE;
   return task->crashes == 0 || count_unproven (worker) == 0;
 }
@@ -358,21 +349,18 @@
 {
   if (task->crashes == 0 || worker->suspects > 0)
     return busy;
-  if (busy && busy->reserved_for == task && is_reserved (busy, now_ms))
+  if (busy && busy->reserved_for == task && iv_reserve_is_held (busy, now_ms))
     return busy;
-  if (is_reserved (worker, now_ms))
+  if (iv_reserve_is_held (worker, now_ms))
     return worker->reserved_for == task ? worker : busy;
   return busy == NULL || iv_crash_score (worker) > iv_crash_score (busy) ? worker : busy;
 }
 
 void
-iv_crash_reserve (const struct iv_owner *owner, struct iv_fleet_worker *worker,
-                  const struct iv_job_task *task, gint64 now_ms)
+iv_crash_reserve (struct iv_fleet_worker *worker, const struct iv_job_task *task, gint64 now_ms)
 {
-  if (is_reserved (worker, now_ms))
-    return;
-  worker->reserved_for = task;
-  worker->reserved_until_ms = now_ms + RESERVE_MS;
+  if (!iv_reserve_is_held (worker, now_ms))
+    iv_reserve_hold (worker, task, now_ms + RESERVE_MS);
 }
 
 void
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -31,8 +31,7 @@
 
 /** Whether @a worker takes @a task: nothing starts beside a task under suspicion, and such a task
  *  only where nothing else has just started. */
-gboolean iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
-                          gint64 now_ms);
+gboolean iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task);
 
 /** Score of @a worker for a task under suspicion: lower the more its crash would cost. */
 gint64 iv_crash_score (const struct iv_fleet_worker *worker);
@@ -43,9 +42,9 @@
                                               struct iv_fleet_worker *worker,
                                               const struct iv_job_task *task, gint64 now_ms);
 
-/** Start nothing else on @a worker until @a task can start there, for a limited time. */
-void iv_crash_reserve (const struct iv_owner *owner, struct iv_fleet_worker *worker,
-                       const struct iv_job_task *task, gint64 now_ms);
+/** Reserve @a worker for @a task, unless it is reserved, until its runs have proven harmless. */
+void iv_crash_reserve (struct iv_fleet_worker *worker, const struct iv_job_task *task,
+                       gint64 now_ms);
 
 /** @a task has survived a start: it is under suspicion no more. */
 void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -5,6 +5,7 @@
 #include "event.h"
 #include "histogram.h"
 #include "queue_order.h"
+#include "reserve.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -80,6 +81,7 @@
   task->state = IV_JOB_TASK_PLACED;
   task->run = number;
   task->placed_run = number;
+  iv_reserve_release (owner->fleet, task);
   stage->placed++;
   exec->placed++;
   if (!exec->started)
@@ -107,20 +109,46 @@
   return MAX (highest, owner->run_base) + 1;
 }
 
+/* What is known of the workers for a stage while its tasks are dispatched: all tasks of a stage
+   need the same. */
+struct search
+{
+  gboolean full;         /* no worker has capacity */
+  gboolean unreservable; /* nor will any that is not reserved */
+};
+
+/* A worker for a task that may be kept waiting for one by smaller tasks: reserved when none has
+   capacity. */
+static struct iv_fleet_worker *
+find_or_reserve (const struct iv_placement_query *query, const struct iv_job_task *task,
+                 struct search *search)
+{
+  struct iv_fleet_worker *worker = iv_place_reserved (query, task);
+  if (worker == NULL && !search->full)
+    worker = iv_place_task (query, task);
+  if (worker)
+    return worker;
+  search->full |= task->crashes == 0;
+  search->unreservable = search->unreservable || !iv_place_reserve (query, task);
+  return NULL;
+}
+
 static void
 dispatch_tasks (struct iv_owner *owner, const struct iv_placement_query *query,
                 struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
                 gint64 now_ms)
 {
+  struct search search = { 0 };
   for (guint i = 0; i < stage->step->count; i++)
     {
       struct iv_job_task *task = &stage->tasks[i];
       struct iv_fleet_worker *worker;
       if (!may_start (owner, exec, stage, task, now_ms))
         continue;
-      worker = iv_place_task (query, task);
+      worker
+          = query->reserves ? find_or_reserve (query, task, &search) : iv_place_task (query, task);
       /* A task under suspicion may lack a worker that others can use. */
-      if (worker == NULL && task->crashes > 0)
+      if (worker == NULL && (task->crashes > 0 || query->reserves))
         continue;
       if (worker == NULL || (query->starved && exec->placed > 0))
         return;
@@ -245,6 +273,13 @@
   return NULL;
 }
 
+/* Best-effort tasks need no cores, and gangs are placed as a whole. */
+static gboolean
+reserves_workers (const ivj_step *step)
+{
+  return (step->flags & IVJ_LONG_RUNNING) && !(step->flags & (IVJ_BEST_EFFORT | IVJ_GANG));
+}
+
 static void
 note_waiting (struct iv_stage *stage, const struct iv_placement_query *query)
 {
@@ -280,6 +315,7 @@
           .workload = iv_sharing_workload (owner, stage->step),
           .advised = candidate->policy.advised,
           .checks_capacity = candidate->policy.checks_capacity,
+          .reserves = reserves_workers (stage->step),
           .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
           .now_ms = now_ms };
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -131,22 +131,44 @@
   g_hash_table_remove (fleet->by_id, worker->id);
 }
 
+/* What a task of @a step reserves. */
+static struct iv_resources
+step_resources (const ivj_step *step)
+{
+  return (struct iv_resources){ step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli, step->mem_mb,
+                                step->accelerators };
+}
+
+static void
+add_resources (struct iv_resources *sum, const struct iv_resources *resources, gint64 sign)
+{
+  sum->cpu_milli += sign * resources->cpu_milli;
+  sum->mem_mb += sign * resources->mem_mb;
+  sum->accelerators += sign * resources->accelerators;
+}
+
+static gboolean
+is_within (const struct iv_resources *resources, const struct iv_resources *capacity)
+{
+  return resources->cpu_milli <= capacity->cpu_milli && resources->mem_mb <= capacity->mem_mb
+         && resources->accelerators <= capacity->accelerators;
+}
+
 static void
 add_usage (struct iv_run *run, gint64 sign)
 {
   struct iv_fleet_worker *worker = run->worker;
   const ivj_step *step = run->step;
+  struct iv_resources resources;
   if (step == NULL)
     {
       worker->unsized_runs = (guint)((gint64)worker->unsized_runs + sign);
       return;
     }
-  worker->used.mem_mb += sign * step->mem_mb;
-  worker->used.accelerators += sign * step->accelerators;
+  resources = step_resources (step);
+  add_resources (&worker->used, &resources, sign);
   if (step->flags & IVJ_BEST_EFFORT)
     worker->best_effort_cpu_milli += sign * step->cpu_milli;
-  else
-    worker->used.cpu_milli += sign * step->cpu_milli;
   if (!(step->flags & (IVJ_BEST_EFFORT | IVJ_LONG_RUNNING)))
     worker->batch_tasks = (guint)((gint64)worker->batch_tasks + sign);
   if (step->target_ms > 0)
@@ -238,3 +260,37 @@
          && worker->used.mem_mb + step->mem_mb <= worker->capacity.mem_mb
          && worker->used.accelerators + step->accelerators <= worker->capacity.accelerators;
 }
+
+static double
+shortage (gint64 needed, gint64 used, gint64 capacity)
+{
+  return (double)(used + needed - capacity) / (double)MAX (capacity, 1);
+}
+
+double
+iv_worker_shortage (const struct iv_fleet_worker *worker, const ivj_step *step)
+{
+  struct iv_resources needed = step_resources (step);
+  const struct iv_resources *used = &worker->used;
+  const struct iv_resources *capacity = &worker->capacity;
+  double worst = shortage (needed.cpu_milli, used->cpu_milli, capacity->cpu_milli);
+  worst = MAX (worst, shortage (needed.mem_mb, used->mem_mb, capacity->mem_mb));
+  return MAX (worst, shortage (needed.accelerators, used->accelerators, capacity->accelerators));
+}
+
+gboolean
+iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step)
+{
+  struct iv_resources kept = step_resources (step);
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      struct iv_resources resources;
+      if (run->step == NULL || run->phase == IV_RUN_PHASE_STOPPING
+          || !(run->step->flags & IVJ_LONG_RUNNING))
+        continue;
+      resources = step_resources (run->step);
+      add_resources (&kept, &resources, 1);
+    }
+  return is_within (&kept, &worker->capacity);
+}
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -141,10 +141,10 @@
   guint consecutive_failed_runs;
   gint64 quarantined_until_ms; /**< no new runs before this, after failed or refused ones */
   guint suspects;              /**< runs of tasks under suspicion that may crash it */
-  const void *reserved_for;    /**< task under suspicion that it is kept free for */
-  gint64 reserved_until_ms;    /**< end of that reservation */
-  GPtrArray *runs;             /**< of struct iv_run */
-  GArray *lost_starts;         /**< of struct iv_lost_start */
+  const struct iv_job_task *reserved_for; /**< nothing else starts here: see reserve.h */
+  gint64 reserved_until_ms;               /**< end of that reservation */
+  GPtrArray *runs;                        /**< of struct iv_run */
+  GArray *lost_starts;                    /**< of struct iv_lost_start */
 };
 
 /** A start without a reply, which may be carried out late by a later instance of the worker. */
@@ -213,4 +213,12 @@
  * which is being stopped. */
 gboolean iv_worker_has_capacity (const struct iv_fleet_worker *worker, const ivj_step *step);
 
+/** Largest share of its capacity, of any resource, that @a worker lacks for a task of @a step. 0 or
+ *  less when the task fits. */
+double iv_worker_shortage (const struct iv_fleet_worker *worker, const ivj_step *step);
+
+/** Whether a task of @a step fits on @a worker once the runs there that end by themselves, or are
+ *  being stopped, have ended. */
+gboolean iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step);
+
 #endif
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -173,6 +173,7 @@
   guint32 workload;         /**< image of the stage in the interference model */
   gboolean advised;         /**< only workers with a ticket */
   gboolean checks_capacity; /**< see struct iv_queue_policy */
+  gboolean reserves;        /**< a worker is reserved when none has capacity: see reserve.h */
   gboolean starved; /**< the job has had no run for a while: accept the least interference */
   gint64 now_ms;
 };
@@ -181,6 +182,14 @@
 struct iv_fleet_worker *iv_place_task (const struct iv_placement_query *query,
                                        const struct iv_job_task *task);
 
+/** The worker that is reserved for @a task, if it has capacity for it by now; else NULL. */
+struct iv_fleet_worker *iv_place_reserved (const struct iv_placement_query *query,
+                                           const struct iv_job_task *task);
+
+/** Reserve the worker that will soonest have capacity for @a task, or extend the reservation. FALSE
+ *  when no worker can hold the task. */
+gboolean iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task);
+
 /** When a start that is sent to @a worker now expires, on the clock of the worker. */
 gint64 iv_place_start_deadline (const struct iv_fleet_worker *worker,
                                 const struct iv_placement_query *query);
@@ -189,6 +198,11 @@
 gboolean iv_place_is_feasible (const struct iv_fleet_worker *worker,
                                const struct iv_placement_query *query);
 
+/** The same for the time when runs there that end by themselves have ended. FALSE unless the stage
+ *  reserves workers. */
+gboolean iv_place_may_become_feasible (const struct iv_fleet_worker *worker,
+                                       const struct iv_placement_query *query);
+
 /** Log that tasks of the stage have waited for @a waited_ms: how many workers each condition keeps
  *  them from, and the free cores of those that only lack capacity. */
 void iv_place_log_waiting (const struct iv_placement_query *query, gint64 waited_ms);
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -1,6 +1,7 @@
 #include "advice.h"
 #include "crash.h"
 #include "event.h"
+#include "reserve.h"
 #include "sharing.h"
 
 #include <string.h>
@@ -14,6 +15,8 @@
 #define SCORE_TAIL (-120000) /* for a tail latency at its target */
 #define TAIL_SCORE_CAP 10.0  /* multiple of a target beyond which all score the same */
 #define TAIL_MAX 0.70        /* share of a target beyond which no best-effort task is added */
+/* Longer than the interval between dispatches, each of which extends the reservations. */
+#define RESERVE_MS 500
 
 static gboolean
 has_label (const struct iv_fleet_worker *worker, const char *label)
@@ -175,6 +178,16 @@
   return hold (worker, query, CONDITION_TICKET);
 }
 
+gboolean
+iv_place_may_become_feasible (const struct iv_fleet_worker *worker,
+                              const struct iv_placement_query *query)
+{
+  for (guint i = 0; i < CONDITION_TICKET; i++)
+    if (i != CONDITION_CAPACITY && !conditions[i].holds (worker, query))
+      return FALSE;
+  return query->reserves && iv_worker_can_hold (worker, query->stage->step);
+}
+
 static gboolean
 is_usable (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
 {
@@ -295,7 +308,7 @@
       gint64 points;
       if (!is_usable (value, query))
         continue;
-      if (!iv_crash_admits (value, task, query->now_ms))
+      if (!iv_reserve_admits (value, task, query->now_ms) || !iv_crash_admits (value, task))
         {
           busy = iv_crash_better_busy (busy, value, task, query->now_ms);
           continue;
@@ -311,6 +324,52 @@
         }
     }
   if (best == NULL && busy)
-    iv_crash_reserve (query->owner, busy, task, query->now_ms);
+    iv_crash_reserve (busy, task, query->now_ms);
+  return best;
+}
+
+/* Whether nothing keeps @a task off @a worker but runs that will end or prove harmless. */
+static gboolean
+is_reservable (const struct iv_fleet_worker *worker, const struct iv_placement_query *query,
+               const struct iv_job_task *task)
+{
+  return iv_reserve_admits (worker, task, query->now_ms)
+         && iv_place_may_become_feasible (worker, query) && has_ticket (worker, query);
+}
+
+static struct iv_fleet_worker *
+find_reservable (const struct iv_placement_query *query, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *best = NULL;
+  double best_shortage = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, query->owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      double shortage = iv_worker_shortage (value, query->stage->step);
+      if ((best && shortage >= best_shortage) || !is_reservable (value, query, task))
+        continue;
+      best = value;
+      best_shortage = shortage;
+    }
   return best;
 }
+
+struct iv_fleet_worker *
+iv_place_reserved (const struct iv_placement_query *query, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *worker = iv_reserve_find (query->owner->fleet, task, query->now_ms);
+  return worker && is_usable (worker, query) && iv_crash_admits (worker, task) ? worker : NULL;
+}
+
+gboolean
+iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *worker = iv_reserve_find (query->owner->fleet, task, query->now_ms);
+  if (worker == NULL || !is_reservable (worker, query, task))
+    worker = find_reservable (query, task);
+  if (worker)
+    iv_reserve_hold (worker, task, query->now_ms + RESERVE_MS);
+  return worker != NULL;
+}
--- /dev/null
+++ b/jobs/reserve.c
@@ -0,0 +1,48 @@
+#include "reserve.h"
+
+gboolean
+iv_reserve_is_held (const struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  return worker->reserved_for && now_ms < worker->reserved_until_ms;
+}
+
+gboolean
+iv_reserve_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task,
+                   gint64 now_ms)
+{
+  return !iv_reserve_is_held (worker, now_ms) || worker->reserved_for == task;
+}
+
+static struct iv_fleet_worker *
+find_worker (const struct iv_fleet *fleet, const struct iv_job_task *task)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct iv_fleet_worker *)value)->reserved_for == task)
+      return value;
+  return NULL;
+}
+
+struct iv_fleet_worker *
+iv_reserve_find (const struct iv_fleet *fleet, const struct iv_job_task *task, gint64 now_ms)
+{
+  struct iv_fleet_worker *worker = find_worker (fleet, task);
+  return worker && iv_reserve_is_held (worker, now_ms) ? worker : NULL;
+}
+
+void
+iv_reserve_hold (struct iv_fleet_worker *worker, const struct iv_job_task *task, gint64 until_ms)
+{
+  worker->reserved_for = task;
+  worker->reserved_until_ms = until_ms;
+}
+
+void
+iv_reserve_release (const struct iv_fleet *fleet, const struct iv_job_task *task)
+{
+  struct iv_fleet_worker *worker = find_worker (fleet, task);
+  if (worker)
+    worker->reserved_for = NULL;
+}
