Move long-running tasks off draining workers

Callers saw lasting work down for 10 s and more each time workers left in order. Cause: the notice of a worker was used for new tasks only; what ran there stayed until the worker was gone, its leases were waited for (4.7 s), and only then its tasks looked for workers. Now each long-running task on a draining worker gets a worker first, which is reserved for it, and is stopped then; of a step no more than it permits move at once.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -13,6 +13,8 @@
 #define DISPATCH_INTERVAL_MS 250 /* tail latencies and waiting times change without an event */
 /* A job without a run for 3 s counts as lost; this leaves time to repeat a lost start. */
 #define STARVED_AFTER_MS 500
+/* Share of the workers that may be kept from batch tasks for tasks that are down. */
+#define RESERVED_MAX_PERCENT 25
 /* Long-running tasks that wait are logged after this long, and then at this interval. */
 #define WAIT_LOG_INTERVAL_MS 1000
 
@@ -113,8 +115,8 @@
    need the same. */
 struct search
 {
-  gboolean full;         /* no worker has capacity */
-  gboolean unreservable; /* nor will any that is not reserved */
+  gboolean full; /* no worker has capacity */
+  enum iv_reserve_outcome reserved;
 };
 
 /* A worker for a task that may be kept waiting for one by smaller tasks: reserved when none has
@@ -129,7 +131,8 @@
   if (worker)
     return worker;
   search->full |= task->crashes == 0;
-  search->unreservable = search->unreservable || !iv_place_reserve (query, task);
+  if (search->reserved == IV_RESERVE_DONE)
+    search->reserved = iv_place_reserve (query, task, RESERVED_MAX_PERCENT);
   return NULL;
 }
 
@@ -138,7 +141,7 @@
                 struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
                 gint64 now_ms)
 {
-  struct search search = { 0 };
+  struct search search = { FALSE, IV_RESERVE_DONE };
   for (guint i = 0; i < stage->step->count; i++)
     {
       struct iv_job_task *task = &stage->tasks[i];
@@ -158,6 +161,8 @@
       start_task (owner, query, exec, stage, task, name, worker,
                   next_run_number (owner, task->run));
     }
+  if (search.reserved == IV_RESERVE_IMPOSSIBLE)
+    exec->unholdable_ms = now_ms;
 }
 
 /* Places all members or none: trial runs reserve the workers until every member has one, and are
@@ -300,33 +305,55 @@
   iv_place_log_waiting (query, now_ms - stage->waiting_since_ms);
 }
 
-static void
-dispatch_stage (struct iv_owner *owner, const struct candidate *candidate,
-                struct iv_occurrence *occurrence, struct iv_stage *stage, gint64 now_ms)
+static struct iv_placement_query
+make_query (struct iv_owner *owner, const struct iv_job_exec *exec,
+            const struct iv_queue_policy *policy, struct iv_stage *stage, guint occurrence,
+            gint64 now_ms)
 {
-  struct iv_job_exec *exec = candidate->exec;
-  struct iv_task_name name = { .occurrence = occurrence->number, .step = stage->number };
   struct iv_placement_query query
       = { .owner = owner,
           .job = exec->job,
           .stage = stage,
-          .occurrence = occurrence->number,
-          .service = candidate->policy.service,
+          .occurrence = occurrence,
+          .service = policy->service,
           .workload = iv_sharing_workload (owner, stage->step),
-          .advised = candidate->policy.advised,
-          .checks_capacity = candidate->policy.checks_capacity,
+          .advised = policy->advised,
+          .checks_capacity = policy->checks_capacity,
           .reserves = reserves_workers (stage->step),
           .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
           .now_ms = now_ms };
-  g_strlcpy (name.job, exec->job->id, sizeof name.job);
   if (stage->step->flags & IVJ_RACK_LOCAL)
     {
-      query.rack = rack_in_use (owner, exec, stage, occurrence->number);
+      query.rack = rack_in_use (owner, exec, stage, occurrence);
       if (query.rack == NULL)
         query.rack = choose_rack (owner, stage);
     }
   if (query.advised)
     iv_advice_send_query (owner, &query, stage);
+  return query;
+}
+
+gboolean
+iv_dispatch_query (struct iv_owner *owner, const struct iv_job_exec *exec, struct iv_stage *stage,
+                   guint occurrence, gint64 now_ms, struct iv_placement_query *query)
+{
+  const ivj_job *spec = &exec->job->spec;
+  struct iv_queue_policy policy;
+  if (!owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &policy))
+    return FALSE;
+  *query = make_query (owner, exec, &policy, stage, occurrence, now_ms);
+  return TRUE;
+}
+
+static void
+dispatch_stage (struct iv_owner *owner, const struct candidate *candidate,
+                struct iv_occurrence *occurrence, struct iv_stage *stage, gint64 now_ms)
+{
+  struct iv_job_exec *exec = candidate->exec;
+  struct iv_task_name name = { .occurrence = occurrence->number, .step = stage->number };
+  struct iv_placement_query query
+      = make_query (owner, exec, &candidate->policy, stage, occurrence->number, now_ms);
+  g_strlcpy (name.job, exec->job->id, sizeof name.job);
   if (stage->step->flags & IVJ_GANG)
     dispatch_gang (owner, &query, exec, stage, &name, now_ms);
   else
@@ -378,4 +405,6 @@
   for (guint i = 0; i < candidates->len; i++)
     dispatch_job (owner, &g_array_index (candidates, struct candidate, i), now_ms);
   g_array_free (candidates, TRUE);
+  /* Tasks that are down come before those that will be. */
+  iv_owner_move_from_draining (owner, now_ms);
 }
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -74,6 +74,7 @@
   guint64 crash_batch;      /**< collection that records the newest crash; suspects wait for it */
   guint placed;             /**< tasks that run or may run */
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
+  gint64 unholdable_ms;     /**< when no worker could last hold one of its long-running tasks */
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
   gint64 first_seen_ms;     /**< when this owner first read the job */
   gint64 last_placed_ms;    /**< latest time at which a task of it was placed */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -19,6 +19,13 @@
   gint64 start_time_ms; /**< start time of the worker instance that the query was about */
 };
 
+/** A long-running job that has moved to another cell. */
+struct iv_departure
+{
+  gint64 cpu_milli; /**< cores that it needs there, in thousandths */
+  gint64 until_ms;  /**< the load of that cell shows it by then */
+};
+
 /** The outstanding query to the advice service. */
 struct iv_advice_query
 {
@@ -58,6 +65,8 @@
   gboolean needs_dispatch;   /**< capacity was freed, or tasks or workers were added */
   gint64 next_dispatch_ms;   /**< dispatch then even if nothing changed */
   gint64 next_moves_ms;      /**< when to look for jobs to move next */
+  GArray *departures;        /**< of struct iv_departure, by time */
+  gint64 next_drain_ms;      /**< when to look for tasks on draining workers next */
   gint64 batch_demand_milli; /**< decaying maximum of the cores that batch tasks needed */
   struct iv_advice_query advice_query;
   gint64 next_advice_ms; /**< no advice query before */
@@ -178,6 +187,15 @@
   gint64 now_ms;
 };
 
+/** Fill @a query for @a stage of @a exec, and request tickets if it needs them. FALSE when the
+ *  configuration has no queue for the job. */
+gboolean iv_dispatch_query (struct iv_owner *owner, const struct iv_job_exec *exec,
+                            struct iv_stage *stage, guint occurrence, gint64 now_ms,
+                            struct iv_placement_query *query);
+
+/** Move long-running tasks off workers that drain, a few of a step at a time: drain.c. */
+void iv_owner_move_from_draining (struct iv_owner *owner, gint64 now_ms);
+
 /** Choose the worker with the best score for @a task; NULL when none is feasible. */
 struct iv_fleet_worker *iv_place_task (const struct iv_placement_query *query,
                                        const struct iv_job_task *task);
@@ -186,9 +204,19 @@
 struct iv_fleet_worker *iv_place_reserved (const struct iv_placement_query *query,
                                            const struct iv_job_task *task);
 
-/** Reserve the worker that will soonest have capacity for @a task, or extend the reservation. FALSE
- *  when no worker can hold the task. */
-gboolean iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task);
+/** Outcome of a reservation. */
+enum iv_reserve_outcome
+{
+  IV_RESERVE_DONE,      /**< a worker is reserved */
+  IV_RESERVE_LATER,     /**< too many workers are reserved */
+  IV_RESERVE_IMPOSSIBLE /**< no worker can hold the task, even when batch tasks have ended */
+};
+
+/** Reserve the worker that will soonest have capacity for @a task, or extend the reservation,
+ * unless
+ *  @a max_percent of the workers are reserved. */
+enum iv_reserve_outcome iv_place_reserve (const struct iv_placement_query *query,
+                                          const struct iv_job_task *task, guint max_percent);
 
 /** When a start that is sent to @a worker now expires, on the clock of the worker. */
 gint64 iv_place_start_deadline (const struct iv_fleet_worker *worker,
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -363,13 +363,21 @@
   return worker && is_usable (worker, query) && iv_crash_admits (worker, task) ? worker : NULL;
 }
 
-gboolean
-iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task)
+enum iv_reserve_outcome
+iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task,
+                  guint max_percent)
 {
-  struct iv_fleet_worker *worker = iv_reserve_find (query->owner->fleet, task, query->now_ms);
-  if (worker == NULL || !is_reservable (worker, query, task))
+  const struct iv_fleet *fleet = query->owner->fleet;
+  struct iv_fleet_worker *worker = iv_reserve_find (fleet, task, query->now_ms);
+  gboolean is_new = worker == NULL;
+  if (is_new || !is_reservable (worker, query, task))
     worker = find_reservable (query, task);
-  if (worker)
-    iv_reserve_hold (worker, task, query->now_ms + RESERVE_MS);
-  return worker != NULL;
+  if (worker == NULL)
+    return IV_RESERVE_IMPOSSIBLE;
+  if (is_new
+      && iv_reserve_count (fleet, query->now_ms) * 100
+             >= MAX (100, g_hash_table_size (fleet->by_id) * max_percent))
+    return IV_RESERVE_LATER;
+  iv_reserve_hold (worker, task, query->now_ms + RESERVE_MS);
+  return IV_RESERVE_DONE;
 }
--- a/jobs/reserve.c
+++ b/jobs/reserve.c
@@ -32,6 +32,18 @@
   return worker && iv_reserve_is_held (worker, now_ms) ? worker : NULL;
 }
 
+guint
+iv_reserve_count (const struct iv_fleet *fleet, gint64 now_ms)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += iv_reserve_is_held (value, now_ms);
+  return count;
+}
+
 void
 iv_reserve_hold (struct iv_fleet_worker *worker, const struct iv_job_task *task, gint64 until_ms)
 {
--- a/jobs/reserve.h
+++ b/jobs/reserve.h
@@ -22,6 +22,9 @@
 struct iv_fleet_worker *iv_reserve_find (const struct iv_fleet *fleet,
                                          const struct iv_job_task *task, gint64 now_ms);
 
+/** Number of workers that are reserved. */
+guint iv_reserve_count (const struct iv_fleet *fleet, gint64 now_ms);
+
 /** Reserve @a worker for @a task until @a until_ms. */
 void iv_reserve_hold (struct iv_fleet_worker *worker, const struct iv_job_task *task,
                       gint64 until_ms);
--- a/jobs/tests/reserve_test.c
+++ b/jobs/tests/reserve_test.c
@@ -1,4 +1,5 @@
 #include "bench_job.h"
+#include "reserve.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -105,11 +106,31 @@
     }
 }
 
+/* Guards against long-running tasks that take every worker from the batch tasks for as long as they
+   wait. */
+static void
+test_most_workers_stay_open_to_batch_tasks (void **state)
+{
+  struct sim *sim = start_cell (8);
+  submit (sim, BATCH_JOB_ID, 400, (struct iv_resources){ 1000, 1, 0 }, 0);
+  sim_advance (sim, SETTLE_MS);
+  submit (sim, JOB_ID, 8, (struct iv_resources){ 3000, 1, 0 }, IVJ_LONG_RUNNING);
+  for (guint i = 0; i < 100; i++)
+    {
+      sim_end_oldest_run (sim, i % sim->count, BATCH_JOB_ID);
+      sim_advance (sim, BATCH_END_MS);
+      assert_in_range (iv_reserve_count (iv_owner_fleet (sim->owner), sim->now_ms), 0, 2);
+    }
+  assert_int_equal (sim_job_runs (sim, JOB_ID), 8);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_small_tasks_do_not_starve_a_large_long_running_task),
+    cmocka_unit_test (test_most_workers_stay_open_to_batch_tasks),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
