Evacuate long-running jobs into capacity that is kept for others

Callers saw lasting work down for up to 30 s in a cell that long-running tasks fill, while another cell had room for it. Cause: a job was evacuated only to a cell that had capacity for it after the reserves for batch tasks and for the loss of a rack, which no cell has when workers are lost; a job with a task on a draining worker only once that had left. Now cells report what long-running tasks leave, in pieces of a usual size, less what their own tasks wait for; a job that no worker of its cell can hold a task of goes there, the smallest job first, and what is on its way counts until the load shows it.

moves and room fail without it (mutants evacuate_into_spare, evacuate_all, evacuate_draining, pieces, own_waiting).

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -392,8 +392,10 @@
   if (!iv_owner_free_capacity (task->owner, &capacity))
     return;
   task->next_load_ms = iv_cell_task_now_ms (task) + LOAD_INTERVAL_MS;
-  g_snprintf (value, sizeof value, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
-              capacity.free_milli, capacity.best_effort_milli, capacity.long_running_milli);
+  g_snprintf (value, sizeof value,
+              "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+              capacity.free_milli, capacity.best_effort_milli, capacity.long_running_milli,
+              capacity.evacuation_milli);
   add_cell_record (task, IV_KEY_LOAD, value, strlen (value));
 }
 
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -91,10 +91,28 @@
 static gint64
 capacity_of_kind (const struct cell_load *load, enum iv_capacity_kind kind)
 {
-  if (kind == IV_CAPACITY_BEST_EFFORT)
-    return load->capacity.best_effort_milli;
-  return kind == IV_CAPACITY_LONG_RUNNING ? load->capacity.long_running_milli
-                                          : load->capacity.free_milli;
+  switch (kind)
+    {
+    case IV_CAPACITY_BEST_EFFORT:
+      return load->capacity.best_effort_milli;
+    case IV_CAPACITY_LONG_RUNNING:
+      return load->capacity.long_running_milli;
+    case IV_CAPACITY_EVACUATION:
+      return load->capacity.evacuation_milli;
+    case IV_CAPACITY_BATCH:
+    default:
+      return load->capacity.free_milli;
+    }
+}
+
+/* What a cell must have more of than this, to take a job that needs @a cpu_milli from a cell with
+   load @a own. */
+static gint64
+min_move_capacity (const struct cell_load *own, gint64 cpu_milli, enum iv_capacity_kind kind)
+{
+  if (kind == IV_CAPACITY_LONG_RUNNING)
+    return MAX (capacity_of_kind (own, kind), 0) + cpu_milli * LONG_RUNNING_MOVE_FACTOR;
+  return kind == IV_CAPACITY_EVACUATION ? cpu_milli : cpu_milli * MOVE_CAPACITY_FACTOR;
 }
 
 /* Counts @a cpu_milli as used until the next load record of the cell. */
@@ -104,6 +122,7 @@
   load->capacity.free_milli -= cpu_milli;
   load->capacity.best_effort_milli -= cpu_milli;
   load->capacity.long_running_milli -= cpu_milli;
+  load->capacity.evacuation_milli -= cpu_milli;
 }
 
 /* The cell with the most free capacity; NULL when no recent load exceeds @a min_milli. */
@@ -130,10 +149,7 @@
 {
   struct iv_fleet_app *app = context;
   struct cell_load *own = &app->loads[cell];
-  gint64 min_milli = kind == IV_CAPACITY_LONG_RUNNING ? MAX (capacity_of_kind (own, kind), 0)
-                                                            + cpu_milli * LONG_RUNNING_MOVE_FACTOR
-                                                      : cpu_milli * MOVE_CAPACITY_FACTOR;
-  struct cell_load *best = find_cell_above (app, kind, min_milli);
+  struct cell_load *best = find_cell_above (app, kind, min_move_capacity (own, cpu_milli, kind));
   if (best == NULL || best == own)
     {
       if (kind == IV_CAPACITY_LONG_RUNNING)
@@ -175,7 +191,9 @@
   char *rest;
   app->loads[cell].capacity.free_milli = g_ascii_strtoll (text, &rest, 10);
   app->loads[cell].capacity.best_effort_milli = g_ascii_strtoll (rest, &rest, 10);
-  app->loads[cell].capacity.long_running_milli = g_ascii_strtoll (rest, NULL, 10);
+  app->loads[cell].capacity.long_running_milli = g_ascii_strtoll (rest, &rest, 10);
+  /* An earlier release writes three numbers: then this is 0, and takes no job. */
+  app->loads[cell].capacity.evacuation_milli = g_ascii_strtoll (rest, NULL, 10);
   app->loads[cell].applied_ms = (gint64)uv_now (app->loop);
   g_free (text);
 }
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -108,6 +108,7 @@
   worker->labels = g_strdupv ((char **)listed->labels);
   worker->capacity = listed->capacity;
   worker->draining = listed->draining;
+  worker->leaves_clock_ms = listed->leaves_clock_ms;
   worker->listed = TRUE;
   return worker;
 }
@@ -278,10 +279,11 @@
   return MAX (worst, shortage (needed.accelerators, used->accelerators, capacity->accelerators));
 }
 
-gboolean
-iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step)
+/* What the runs on @a worker reserve that neither end by themselves nor are being stopped. */
+static struct iv_resources
+long_running_resources (const struct iv_fleet_worker *worker)
 {
-  struct iv_resources kept = step_resources (step);
+  struct iv_resources sum = { 0 };
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct iv_run *run = g_ptr_array_index (worker->runs, i);
@@ -290,7 +292,22 @@
           || !(run->step->flags & IVJ_LONG_RUNNING))
         continue;
       resources = step_resources (run->step);
-      add_resources (&kept, &resources, 1);
+      add_resources (&sum, &resources, 1);
     }
+  return sum;
+}
+
+gint64
+iv_worker_reclaimable_milli (const struct iv_fleet_worker *worker)
+{
+  return MAX (0, worker->capacity.cpu_milli - long_running_resources (worker).cpu_milli);
+}
+
+gboolean
+iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step)
+{
+  struct iv_resources kept = long_running_resources (worker);
+  struct iv_resources needed = step_resources (step);
+  add_resources (&kept, &needed, 1);
   return is_within (&kept, &worker->capacity);
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -35,7 +35,8 @@
   gboolean draining;
   /** Wall clock; distinguishes the instances of a worker, which share its id. */
   gint64 start_time_ms;
-  gint64 clock_ms; /**< when the worker wrote the entry, on its clock; 0: unknown */
+  gint64 clock_ms;        /**< when the worker wrote the entry, on its clock; 0: unknown */
+  gint64 leaves_clock_ms; /**< it drains, and does not leave before, on its clock; 0: unknown */
 };
 
 /** How much the owner knows about a run. */
@@ -117,6 +118,7 @@
   gboolean left_in_order;            /**< its previous instance was draining when it ended */
   gboolean listed;                   /**< the platform lists it */
   gboolean draining;                 /**< it accepts no new runs */
+  gint64 leaves_clock_ms;            /**< it does not leave before, on its clock; 0: unknown */
   gint64 unlisted_ms;                /**< when the platform stopped listing it */
   enum iv_roster_state roster_state; /**< in the newest roster... */
   gboolean recorded;          /**< ...which is stored and names it: the next owner learns of it */
@@ -217,6 +219,10 @@
  *  less when the task fits. */
 double iv_worker_shortage (const struct iv_fleet_worker *worker, const ivj_step *step);
 
+/** Cores of @a worker, in thousandths, that its long-running tasks leave: free ones, and those of
+ *  tasks that end by themselves. Not negative. */
+gint64 iv_worker_reclaimable_milli (const struct iv_fleet_worker *worker);
+
 /** Whether a task of @a step fits on @a worker once the runs there that end by themselves, or are
  *  being stopped, have ended. */
 gboolean iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step);
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -3,8 +3,14 @@
 #include "event.h"
 
 #define MOVES_INTERVAL_MS 100
-#define MOVE_AFTER_MS 150      /* of waiting for capacity: a move takes about 100 ms */
-#define EVACUATE_AFTER_MS 1000 /* long-running tasks must not wait 3 s for a worker */
+#define MOVE_AFTER_MS 150         /* of waiting for capacity: a move takes about 100 ms */
+#define EVACUATE_AFTER_MS 1000    /* long-running tasks must not wait 3 s for a worker */
+#define EVACUATE_WAIT_MS 2500     /* the same where a worker is reserved, or soon will be */
+#define UNHOLDABLE_MAX_AGE_MS 500 /* the interval between dispatches is shorter */
+/* Keeps a job from going to and fro between cells that are both full. */
+#define EVACUATE_AGAIN_MS 5000
+/* Until the load of a cell shows a job that has moved there. */
+#define LOAD_DELAY_MS 1000
 
 /* Whether no task of the job has been started, by this owner or a previous one. */
 static gboolean
@@ -85,24 +91,70 @@
   return TRUE;
 }
 
-/* Evacuates a long-running job to a cell with capacity for all of it when tasks that lost their
-   workers have waited too long for others. */
-static void
-evacuate_if_unplaced (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
+/* Whether tasks of a long-running job have waited too long for workers, or will when theirs have
+   left. */
+static gboolean
+needs_evacuation (const struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
 {
-  gint cell;
-  if (are_all_placed (exec) || !owner->previous_runs_known || !may_be_evacuated (exec))
+  gboolean unholdable
+      = exec->unholdable_ms > 0 && now_ms <= exec->unholdable_ms + UNHOLDABLE_MAX_AGE_MS;
+  if ((are_all_placed (exec) && !unholdable) || !owner->previous_runs_known
+      || !may_be_evacuated (exec))
     {
       exec->unplaced_since_ms = 0;
-      return;
+      return FALSE;
     }
   if (exec->unplaced_since_ms == 0)
     exec->unplaced_since_ms = now_ms;
-  if (now_ms < exec->unplaced_since_ms + EVACUATE_AFTER_MS)
-    return;
-  cell = owner->effects.find_move_target (owner->effects.context,
-                                          iv_job_long_running_milli (&exec->job->spec),
-                                          IV_CAPACITY_LONG_RUNNING);
+  return now_ms >= exec->unplaced_since_ms + (unholdable ? EVACUATE_AFTER_MS : EVACUATE_WAIT_MS)
+         && (exec->job->moved_to < 0 || now_ms >= exec->first_seen_ms + EVACUATE_AGAIN_MS);
+}
+
+static gint64
+need_milli (const struct iv_job_exec *exec)
+{
+  return iv_job_long_running_milli (&exec->job->spec);
+}
+
+/* Cores for the jobs that are being evacuated or have just left: the load of the cells that they go
+   to does not show them yet. */
+static gint64
+leaving_milli (const struct iv_owner *owner, gint64 now_ms)
+{
+  gint64 sum = 0;
+  for (guint i = 0; i < owner->execs->len; i++)
+    {
+      const struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (exec->evacuate_to >= 0)
+        sum += need_milli (exec);
+    }
+  for (guint i = 0; i < owner->departures->len; i++)
+    {
+      const struct iv_departure *departure
+          = &g_array_index (owner->departures, struct iv_departure, i);
+      if (now_ms < departure->until_ms)
+        sum += departure->cpu_milli;
+    }
+  return sum;
+}
+
+static void
+note_departure (struct iv_owner *owner, const struct iv_job_exec *exec, gint64 now_ms)
+{
+  struct iv_departure departure = { need_milli (exec), now_ms + LOAD_DELAY_MS };
+  while (owner->departures->len > 0
+         && g_array_index (owner->departures, struct iv_departure, 0).until_ms <= now_ms)
+    g_array_remove_index (owner->departures, 0);
+  g_array_append_val (owner->departures, departure);
+}
+
+/* Evacuates a job to a cell with capacity for all of it. */
+static void
+evacuate (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
+{
+  gint cell = owner->effects.find_move_target (owner->effects.context,
+                                               leaving_milli (owner, now_ms) + need_milli (exec),
+                                               IV_CAPACITY_EVACUATION);
   if (cell < 0)
     return;
   iv_event (IV_LEVEL_INFO, "job.evacuated", "job=%s to=%d placed=%u", exec->job->id, cell,
@@ -122,6 +174,7 @@
 void
 iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms)
 {
+  struct iv_job_exec *evacuated = NULL; /* the smallest: it fits most easily */
   if (now_ms < owner->next_moves_ms)
     return;
   owner->next_moves_ms = now_ms + MOVES_INTERVAL_MS;
@@ -132,12 +185,21 @@
       if (exec->evacuate_to >= 0 && exec->placed == 0
           && exec->job->progress.state == exec->job->live_state
           && exec->crash_batch <= owner->stored_batch)
-        move_to_cell (owner, exec, (guint)exec->evacuate_to);
+        {
+          note_departure (owner, exec, now_ms);
+          move_to_cell (owner, exec, (guint)exec->evacuate_to);
+        }
       else if (exec->evacuate_to < 0 && exec->started)
-        evacuate_if_unplaced (owner, exec, now_ms);
+        {
+          if (needs_evacuation (owner, exec, now_ms)
+              && (evacuated == NULL || need_milli (exec) < need_milli (evacuated)))
+            evacuated = exec;
+        }
       else if (is_unstarted (owner, exec) && now_ms > exec->first_seen_ms + MOVE_AFTER_MS)
         try_move (owner, exec, waiting_milli (exec, &kind), kind);
     }
+  if (evacuated)
+    evacuate (owner, evacuated, now_ms);
 }
 
 void
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -46,6 +46,7 @@
   owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->execs = g_ptr_array_new ();
   owner->unrecorded = g_ptr_array_new ();
+  owner->departures = g_array_new (FALSE, FALSE, sizeof (struct iv_departure));
   owner->wall_ms = wall_ms;
   owner->loading_jobs = TRUE;
   iv_job_table_foreach (jobs, take_over_job, owner);
@@ -80,6 +81,7 @@
     iv_job_exec_free (g_ptr_array_remove_index_fast (owner->execs, 0));
   g_ptr_array_free (owner->execs, TRUE);
   g_ptr_array_free (owner->unrecorded, TRUE);
+  g_array_free (owner->departures, TRUE);
   g_free (owner);
 }
 
@@ -313,7 +315,10 @@
   if (restarted)
     iv_owner_worker_restarted (owner, worker, now_ms);
   if (worker->draining && !was_draining)
-    iv_event (IV_LEVEL_INFO, "worker.draining", "worker=%s", worker->id);
+    iv_event (IV_LEVEL_INFO, "worker.draining",
+              "worker=%s runs=%u leaves_clock_ms=%" G_GINT64_FORMAT
+              " entry_clock_ms=%" G_GINT64_FORMAT,
+              worker->id, worker->runs->len, worker->leaves_clock_ms, worker->entry_clock_ms);
   owner->needs_dispatch = TRUE;
 }
 
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -125,9 +125,10 @@
 /** Kind of capacity that a job needs. */
 enum iv_capacity_kind
 {
-  IV_CAPACITY_BATCH,       /**< batch tasks: they end, and reserve their cores */
-  IV_CAPACITY_BEST_EFFORT, /**< best-effort tasks: they use cores that others leave idle */
-  IV_CAPACITY_LONG_RUNNING /**< long-running tasks: balanced across cells */
+  IV_CAPACITY_BATCH,        /**< batch tasks: they end, and reserve their cores */
+  IV_CAPACITY_BEST_EFFORT,  /**< best-effort tasks: they use cores that others leave idle */
+  IV_CAPACITY_LONG_RUNNING, /**< long-running tasks: balanced across cells */
+  IV_CAPACITY_EVACUATION    /**< long-running tasks that are down for lack of a worker */
 };
 
 /** Callbacks of the owner. Replies come back through the functions named *_replied(). */
@@ -170,6 +171,9 @@
   /** For more long-running jobs, after those accepted and the reserve for batch tasks; negative
    *  when these exceed the capacity. */
   gint64 long_running_milli;
+  /** For long-running tasks that are down in other cells: what batch tasks leave when they end, in
+   *  pieces of a usual size, without those that tasks of this cell wait for. */
+  gint64 evacuation_milli;
 };
 
 struct iv_owner;
--- a/jobs/owner_load.c
+++ b/jobs/owner_load.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "event.h"
+#include "reserve.h"
 
 #define LOAD_LOG_INTERVAL_MS 2000
 /* A larger share of silent workers than fail independently at the same time. */
@@ -10,11 +11,12 @@
 struct load
 {
   guint workers, usable, latency_workers, runs, best_effort, throttled, halted, waiting;
-  gint64 capacity_milli, used_milli, best_effort_milli;
+  guint reserved, long_running_waiting;
+  gint64 capacity_milli, used_milli, best_effort_milli, reclaimable_milli;
 };
 
 static void
-count_worker (struct load *load, const struct iv_fleet_worker *worker)
+count_worker (struct load *load, const struct iv_fleet_worker *worker, gint64 now_ms)
 {
   load->workers++;
   load->usable += worker->listed && worker->fenced && worker->failures == 0;
@@ -23,6 +25,8 @@
   load->capacity_milli += worker->capacity.cpu_milli;
   load->used_milli += worker->used.cpu_milli;
   load->best_effort_milli += worker->best_effort_cpu_milli;
+  load->reclaimable_milli += iv_worker_reclaimable_milli (worker);
+  load->reserved += iv_reserve_is_held (worker, now_ms);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct iv_run *run = g_ptr_array_index (worker->runs, i);
@@ -43,8 +47,11 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           const struct iv_stage *stage = &occurrence->stages[j];
-          if (iv_stage_ready (occurrence, stage))
-            load->waiting += stage->step->count - stage->done - stage->placed;
+          guint waiting = stage->step->count - stage->done - stage->placed;
+          if (!iv_stage_ready (occurrence, stage))
+            continue;
+          load->waiting += waiting;
+          load->long_running_waiting += stage->step->flags & IVJ_LONG_RUNNING ? waiting : 0;
         }
     }
 }
@@ -61,16 +68,18 @@
   owner->next_load_log_ms = now_ms + LOAD_LOG_INTERVAL_MS;
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    count_worker (&load, value);
+    count_worker (&load, value, now_ms);
   for (guint i = 0; i < owner->execs->len; i++)
     count_waiting (&load, g_ptr_array_index (owner->execs, i));
   iv_event (IV_LEVEL_INFO, "cell.load",
             "workers=%u usable=%u serving=%u cores=%" G_GINT64_FORMAT " used=%" G_GINT64_FORMAT
-            " fill=%" G_GINT64_FORMAT
-            " runs=%u fills=%u paced=%u halted=%u jobs=%u tasks_waiting=%u",
+            " fill=%" G_GINT64_FORMAT " reclaimable=%" G_GINT64_FORMAT
+            " runs=%u fills=%u paced=%u halted=%u jobs=%u tasks_waiting=%u long_running_waiting=%u"
+            " reserved=%u",
             load.workers, load.usable, load.latency_workers, load.capacity_milli / 1000,
-            load.used_milli / 1000, load.best_effort_milli / 1000, load.runs, load.best_effort,
-            load.throttled, load.halted, owner->execs->len, load.waiting);
+            load.used_milli / 1000, load.best_effort_milli / 1000, load.reclaimable_milli / 1000,
+            load.runs, load.best_effort, load.throttled, load.halted, owner->execs->len,
+            load.waiting, load.long_running_waiting, load.reserved);
 }
 
 /* Workers of one failure domain that are listed and have replied to this owner. */
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -16,6 +16,8 @@
 struct demand
 {
   gint64 long_running_milli;
+  gint64 long_running_tasks;
+  gint64 unplaced_milli; /* of the long-running tasks, those without a worker */
   gint64 batch_milli;
 };
 
@@ -27,7 +29,11 @@
   if (stage->step->flags & IVJ_BEST_EFFORT)
     return;
   if (stage->step->flags & IVJ_LONG_RUNNING)
-    demand->long_running_milli += (gint64)stage->step->cpu_milli * unfinished;
+    {
+      demand->long_running_milli += (gint64)stage->step->cpu_milli * unfinished;
+      demand->long_running_tasks += unfinished;
+      demand->unplaced_milli += (gint64)stage->step->cpu_milli * (unfinished - stage->placed);
+    }
   else if (iv_stage_ready (occurrence, stage))
     demand->batch_milli += (gint64)stage->step->cpu_milli * unfinished;
 }
@@ -75,12 +81,22 @@
   return largest;
 }
 
+/* Cores of @a worker for long-running tasks in pieces of @a piece_milli: what is left of a smaller
+   one is of no use to them. */
+static gint64
+whole_pieces_milli (const struct iv_fleet_worker *worker, gint64 piece_milli)
+{
+  gint64 free_milli = iv_worker_reclaimable_milli (worker);
+  return piece_milli > 0 ? free_milli / piece_milli * piece_milli : free_milli;
+}
+
 /* Long-running jobs would take every core that becomes free and keep it, so that batch jobs, which
    come and go, would find fewer and fewer. The recent maximum of their demand is reserved. */
 gboolean
 iv_owner_free_capacity (struct iv_owner *owner, struct iv_cell_capacity *capacity)
 {
   struct demand demand = count_demand (owner);
+  gint64 piece_milli = demand.long_running_milli / MAX (demand.long_running_tasks, 1);
   gint64 total_milli = 0;
   GHashTableIter iter;
   gpointer value;
@@ -96,7 +112,9 @@
       total_milli += worker->capacity.cpu_milli;
       capacity->free_milli += iv_worker_free_milli (worker);
       capacity->best_effort_milli += MAX (0, iv_sharing_spare_milli (worker));
+      capacity->evacuation_milli += whole_pieces_milli (worker, piece_milli);
     }
+  capacity->evacuation_milli -= demand.unplaced_milli;
   /* A long-running job stays in its cell once it has started. */
   if (owner->limits.spare_rack)
     total_milli -= largest_rack_milli (owner);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -263,7 +263,8 @@
           .capacity = { worker->capacity_milli, worker->mem_mb, worker->accelerators },
           .draining = worker->draining,
           .start_time_ms = worker->start_time_ms,
-          .clock_ms = worker->clock - worker->entry_age_ms };
+          .clock_ms = worker->clock - worker->entry_age_ms,
+          .leaves_clock_ms = worker->leaves_clock_ms };
   iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
 }
 
@@ -286,7 +287,8 @@
 on_find_move_target (void *context, gint64 cpu_milli, enum iv_capacity_kind kind)
 {
   struct sim *sim = context;
-  return sim->other_cell_milli > cpu_milli ? 1 : -1;
+  gint64 spare_milli = kind == IV_CAPACITY_LONG_RUNNING ? sim->other_cell_spare_milli : 0;
+  return sim->other_cell_milli - spare_milli > cpu_milli ? 1 : -1;
 }
 
 static void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -51,6 +51,7 @@
   gboolean resets_calls;    /**< connections are reset: calls fail at once */
   gboolean refuses_starts;  /**< starts are refused for lack of capacity */
   gboolean draining;
+  gint64 leaves_clock_ms; /**< as its entry says, on its clock; 0: the entry does not */
   gboolean unlisted;      /**< the platform does not list it: it lost the store, not the owner */
   gint64 entry_age_ms;    /**< age of its entry when the owner reads it */
   gint64 next_entry_ms;   /**< when the owner reads its entry next; 0: not by itself */
@@ -81,20 +82,21 @@
   gint64 term;
   gint64 now_ms;
   gint64 wall_ms;
-  gboolean unguarded;           /**< the configuration says that workers start what does not fit */
-  gint64 evidence_age_ms;       /**< given to the owner with each tick */
-  gboolean confirmed;           /**< the owner is told that nobody else can own the cell */
-  gint64 authority_ms;          /**< each tick permits the owner to act for this long */
-  gboolean store_records;       /**< progress records are stored */
-  gboolean store_rosters;       /**< rosters are stored */
-  GByteArray *roster;           /**< newest roster; NULL: none */
-  gboolean stalled;             /**< no run makes progress */
-  gboolean domain_a_out;        /**< domain "a" is out of service */
-  gint64 other_cell_milli;      /**< free capacity of another cell */
-  guint move_calls;             /**< jobs that the owner moved to another cell */
-  gboolean defer_moves;         /**< moves are accepted, but their records are not read */
-  gboolean advised;             /**< starts need a ticket; workers with odd numbers get one */
-  gint64 ticket_valid_ms;       /**< validity of a ticket */
+  gboolean unguarded;            /**< the configuration says that workers start what does not fit */
+  gint64 evidence_age_ms;        /**< given to the owner with each tick */
+  gboolean confirmed;            /**< the owner is told that nobody else can own the cell */
+  gint64 authority_ms;           /**< each tick permits the owner to act for this long */
+  gboolean store_records;        /**< progress records are stored */
+  gboolean store_rosters;        /**< rosters are stored */
+  GByteArray *roster;            /**< newest roster; NULL: none */
+  gboolean stalled;              /**< no run makes progress */
+  gboolean domain_a_out;         /**< domain "a" is out of service */
+  gint64 other_cell_milli;       /**< free capacity of another cell... */
+  gint64 other_cell_spare_milli; /**< ...of which this is kept from new long-running jobs */
+  guint move_calls;              /**< jobs that the owner moved to another cell */
+  gboolean defer_moves;          /**< moves are accepted, but their records are not read */
+  gboolean advised;              /**< starts need a ticket; workers with odd numbers get one */
+  gint64 ticket_valid_ms;        /**< validity of a ticket */
   gint64 advice_reply_ms;       /**< when the outstanding advice query gets its reply; 0: none is */
   GPtrArray *advice_worker_ids; /**< of char *: worker ids in that query */
   guint advice_queries;
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -7,6 +7,8 @@
 
 #include <cmocka.h>
 
+#define LOAD_DELAY_MS 600 /* until the load of a cell shows a job that has moved there */
+
 /* A job that cannot be placed is moved to a cell with capacity, and is not started here any more.
  */
 static void
@@ -76,6 +78,82 @@
   sim_free (sim);
 }
 
+/* Guards against long-running tasks that are down while another cell has capacity, as that cell
+   keeps it for new jobs and for the loss of a rack. */
+static void
+test_spare_capacity_takes_evacuated_jobs (void **state)
+{
+  struct sim *sim = sim_new (2);
+  sim_start_owner (sim);
+  sim_make_job (4, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  sim->other_cell_milli = 9000;
+  sim->other_cell_spare_milli = 8000;
+  sim->workers[0].refuses_starts = TRUE;
+  sim_restart_worker (sim, 0);
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 1);
+  sim_free (sim);
+}
+
+/* Guards against a job that waits for its worker to leave, and for leases to end, before it is
+   evacuated to the only cell with capacity. */
+static void
+test_job_on_a_draining_worker_is_evacuated (void **state)
+{
+  struct sim *sim = sim_new (2);
+  sim_start_owner (sim);
+  sim_make_job (4, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  assert_int_equal (sim_total_runs (sim), 4);
+  sim_drain_worker (sim, 0);
+  sim_advance (sim, 500);
+  assert_int_equal (sim_total_runs (sim), 4);
+  sim->other_cell_milli = 100000;
+  sim_advance (sim, 1500);
+  assert_int_equal (sim->move_calls, 1);
+  assert_int_equal (sim_total_runs (sim), 0);
+  sim_free (sim);
+}
+
+/* Guards against jobs that are evacuated together to a cell with capacity for one of them, and
+   against a small job that waits because a larger one does not fit. */
+static void
+test_evacuated_jobs_share_the_capacity_of_a_cell (void **state)
+{
+  struct sim *sim = sim_new (4);
+  sim_start_owner (sim);
+  sim_make_job (4, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_make_job (3, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  assert_int_equal (sim_total_runs (sim), 7);
+  sim->other_cell_milli = 9000;
+  for (guint i = 0; i < 4; i++)
+    {
+      sim->workers[i].refuses_starts = TRUE;
+      sim_restart_worker (sim, i);
+    }
+  while (sim->move_calls == 0)
+    sim_advance (sim, 10);
+  assert_true (iv_job_table_find (sim->job_table, OTHER_JOB_ID)->moved_to >= 0);
+  sim_advance (sim, LOAD_DELAY_MS);
+  sim->other_cell_milli -= 6000;
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 1);
+  sim->other_cell_milli = 9000;
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 2);
+  sim_free (sim);
+}
+
 /* A moved job that is submitted again before the record of its move is read must not return to its
    old cell: it would run in both cells. */
 static void
@@ -163,6 +241,9 @@
     cmocka_unit_test (test_unplaceable_job_is_moved),
     cmocka_unit_test (test_long_running_jobs_are_balanced_across_cells),
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
+    cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
+    cmocka_unit_test (test_job_on_a_draining_worker_is_evacuated),
+    cmocka_unit_test (test_evacuated_jobs_share_the_capacity_of_a_cell),
     cmocka_unit_test (test_resubmitted_job_does_not_return_before_its_move_is_read),
     cmocka_unit_test (test_started_or_unresolved_jobs_are_not_moved),
     cmocka_unit_test (test_owners_on_one_host_do_not_share_jobs),
--- a/jobs/tests/room_test.c
+++ b/jobs/tests/room_test.c
@@ -7,6 +7,8 @@
 
 #include <cmocka.h>
 
+#define BATCH_JOB_ID "00000000000000cc"
+
 /* When long-running jobs take every free core, batch jobs are seconds late. The recent demand of
    batch jobs is reserved, and accepted long-running jobs count before they are placed. */
 static void
@@ -57,12 +59,50 @@
   sim_free (sim);
 }
 
+/* Guards against jobs that are evacuated to a cell whose free cores lie in pieces that are too
+   small for them, or that tasks of the cell wait for; batch tasks there give way. */
+static void
+test_capacity_for_evacuated_jobs_is_in_whole_pieces (void **state)
+{
+  struct sim *sim = sim_new (4);
+  struct iv_cell_capacity capacity;
+  sim->limits.spare_rack = TRUE;
+  sim_start_owner (sim);
+  sim_make_job (16, 0);
+  sim_steps[0].cpu_milli = 1000;
+  sim_submit (sim, BATCH_JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+  assert_int_equal (capacity.free_milli, 0);
+  assert_int_equal (capacity.evacuation_milli, 16000);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_advance (sim, 300);
+  sim_make_job (2, 0);
+  sim_steps[0].cpu_milli = 2500;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+  /* A worker of four cores has one piece of 2.5 cores. */
+  assert_int_equal (capacity.evacuation_milli, 5000);
+  sim_make_job (4, 0);
+  sim_steps[0].cpu_milli = 2500;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  assert_int_equal (sim_total_runs (sim), 4);
+  assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+  assert_int_equal (capacity.evacuation_milli, -5000);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_capacity_is_reserved_for_batch_jobs),
     cmocka_unit_test (test_capacity_of_one_rack_is_reserved),
+    cmocka_unit_test (test_capacity_for_evacuated_jobs_is_in_whole_pieces),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
