Leave tasks on a draining worker while it has time left

A draining worker takes no new tasks, so long-running tasks that leave it early take cores from batch tasks that could have used them for seconds.

--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -4,6 +4,9 @@
 #include "reserve.h"
 
 #define MOVE_INTERVAL_MS 100
+/* Time for all tasks of a worker to leave it: each waits for batch tasks to end elsewhere. Before,
+   the cores that they would take there are of more use to batch tasks. */
+#define MOVE_AHEAD_MS 4000
 /* Share of the workers that may be kept from batch tasks for tasks that still run. */
 #define RESERVED_MAX_PERCENT 10
 /* The stop, its report and the start: a worker may take 900 ms to stop a run. */
@@ -37,6 +40,14 @@
          && !(run->step->flags & IVJ_GANG);
 }
 
+static gboolean
+is_leaving (const struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  return worker->draining && worker->failures == 0
+         && (worker->leaves_clock_ms == 0
+             || iv_worker_clock (worker, now_ms) + MOVE_AHEAD_MS >= worker->leaves_clock_ms);
+}
+
 /* Stops @a run once a worker for its task is reserved, which the dispatch after its end uses. */
 static void
 move_run (struct iv_owner *owner, struct iv_run *run, gint64 now_ms)
@@ -78,7 +89,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct iv_fleet_worker *worker = value;
-      for (guint i = 0; worker->draining && worker->failures == 0 && i < worker->runs->len; i++)
+      if (!is_leaving (worker, now_ms))
+        continue;
+      for (guint i = 0; i < worker->runs->len; i++)
         {
           struct iv_run *run = g_ptr_array_index (worker->runs, i);
           if (is_movable (run))
--- a/jobs/tests/drain_test.c
+++ b/jobs/tests/drain_test.c
@@ -7,8 +7,9 @@
 
 #include <cmocka.h>
 
-#define SETTLE_MS 400     /* for starts, ends and their records to take effect */
-#define BATCH_END_MS 100  /* a batch task ends this often */
+#define SETTLE_MS 400    /* for starts, ends and their records to take effect */
+#define BATCH_END_MS 100 /* a batch task ends this often */
+#define LONG_NOTICE_MS 10000
 #define NOTICE_MS 4500    /* from the notice of a worker to its end */
 #define STOP_GRACE_MS 200 /* a run that is stopped ends this much later */
 #define DOWN_MAX_MS 1000  /* a move takes the stop, its report and the start */
@@ -119,6 +120,25 @@
   sim_free (sim);
 }
 
+/* Guards against long-running tasks that take cores from batch tasks seconds before they have to
+   leave their worker. */
+static void
+test_tasks_stay_while_their_worker_has_time_left (void **state)
+{
+  struct sim *sim = start_cell (2);
+  guint from;
+  submit (sim, JOB_ID, 1, 3000, IVJ_LONG_RUNNING);
+  sim_advance (sim, SETTLE_MS);
+  from = find_worker (sim, JOB_ID);
+  sim->workers[from].leaves_clock_ms = sim->workers[from].clock + LONG_NOTICE_MS;
+  sim_drain_worker (sim, from);
+  sim_advance (sim, LONG_NOTICE_MS / 2);
+  assert_int_equal (sim_worker_runs (sim, from, JOB_ID), 1);
+  sim_advance (sim, LONG_NOTICE_MS / 2 - DOWN_MAX_MS);
+  assert_int_equal (sim_worker_runs (sim, 1 - from, JOB_ID), 1);
+  sim_free (sim);
+}
+
 /* Guards against a step that loses more of its tasks at once than it permits when the worker that
    runs them leaves. */
 static void
@@ -154,6 +174,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_long_running_tasks_leave_a_draining_worker),
     cmocka_unit_test (test_tasks_stay_on_a_draining_worker_without_capacity_elsewhere),
+    cmocka_unit_test (test_tasks_stay_while_their_worker_has_time_left),
     cmocka_unit_test (test_tasks_leave_a_draining_worker_a_few_at_a_time),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
