--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -385,7 +385,7 @@
 record_load (struct iv_cell_task *task)
 {
   struct iv_cell_capacity capacity;
-  char value[96];
+  char value[128];
   if (iv_cell_task_now_ms (task) < task->next_load_ms
       || iv_recorder_append_pending (task->recorder))
     return;
@@ -393,9 +393,10 @@
     return;
   task->next_load_ms = iv_cell_task_now_ms (task) + LOAD_INTERVAL_MS;
   g_snprintf (value, sizeof value,
-              "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+              "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
+              " %" G_GINT64_FORMAT,
               capacity.free_milli, capacity.best_effort_milli, capacity.long_running_milli,
-              capacity.evacuation_milli);
+              capacity.evacuation_milli, capacity.evacuation_large_milli);
   add_cell_record (task, IV_KEY_LOAD, value, strlen (value));
 }
 
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -99,6 +99,8 @@
       return load->capacity.long_running_milli;
     case IV_CAPACITY_EVACUATION:
       return load->capacity.evacuation_milli;
+    case IV_CAPACITY_EVACUATION_LARGE:
+      return load->capacity.evacuation_large_milli;
     case IV_CAPACITY_BATCH:
     default:
       return load->capacity.free_milli;
@@ -112,7 +114,9 @@
 {
   if (kind == IV_CAPACITY_LONG_RUNNING)
     return MAX (capacity_of_kind (own, kind), 0) + cpu_milli * LONG_RUNNING_MOVE_FACTOR;
-  return kind == IV_CAPACITY_EVACUATION ? cpu_milli : cpu_milli * MOVE_CAPACITY_FACTOR;
+  return kind == IV_CAPACITY_EVACUATION || kind == IV_CAPACITY_EVACUATION_LARGE
+             ? cpu_milli
+             : cpu_milli * MOVE_CAPACITY_FACTOR;
 }
 
 /* Counts @a cpu_milli as used until the next load record of the cell. */
@@ -123,6 +127,7 @@
   load->capacity.best_effort_milli -= cpu_milli;
   load->capacity.long_running_milli -= cpu_milli;
   load->capacity.evacuation_milli -= cpu_milli;
+  load->capacity.evacuation_large_milli -= cpu_milli;
 }
 
 /* The cell with the most free capacity; NULL when no recent load exceeds @a min_milli. */
@@ -192,8 +197,9 @@
   app->loads[cell].capacity.free_milli = g_ascii_strtoll (text, &rest, 10);
   app->loads[cell].capacity.best_effort_milli = g_ascii_strtoll (rest, &rest, 10);
   app->loads[cell].capacity.long_running_milli = g_ascii_strtoll (rest, &rest, 10);
-  /* An earlier release writes three numbers: then this is 0, and takes no job. */
-  app->loads[cell].capacity.evacuation_milli = g_ascii_strtoll (rest, NULL, 10);
+  /* An earlier release writes three numbers: then these are 0, and take no job. */
+  app->loads[cell].capacity.evacuation_milli = g_ascii_strtoll (rest, &rest, 10);
+  app->loads[cell].capacity.evacuation_large_milli = g_ascii_strtoll (rest, NULL, 10);
   app->loads[cell].applied_ms = (gint64)uv_now (app->loop);
   g_free (text);
 }
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -8,7 +8,7 @@
 #define EVACUATE_WAIT_MS 2500     /* the same where a worker is reserved, or soon will be */
 #define UNHOLDABLE_MAX_AGE_MS 500 /* the interval between dispatches is shorter */
 /* Keeps a job from going to and fro between cells that are both full. */
-#define EVACUATE_AGAIN_MS 5000
+#define EVACUATE_AGAIN_MS 10000
 /* Until the load of a cell shows a job that has moved there. */
 #define LOAD_DELAY_MS 1000
 
@@ -116,6 +116,16 @@
   return iv_job_long_running_milli (&exec->job->spec);
 }
 
+static enum iv_capacity_kind
+evacuation_kind (const struct iv_owner *owner, const struct iv_job_exec *exec)
+{
+  const ivj_job *spec = &exec->job->spec;
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    if (spec->steps.steps_val[i].cpu_milli > owner->mean_long_running_milli)
+      return IV_CAPACITY_EVACUATION_LARGE;
+  return IV_CAPACITY_EVACUATION;
+}
+
 /* Cores for the jobs that are being evacuated or have just left: the load of the cells that they go
    to does not show them yet. */
 static gint64
@@ -148,19 +158,40 @@
   g_array_append_val (owner->departures, departure);
 }
 
-/* Evacuates a job to a cell with capacity for all of it. */
-static void
-evacuate (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
+/* Evacuates a job to a cell with capacity for all of it and @a reserved_milli. FALSE when there is
+   none. */
+static gboolean
+try_evacuate (struct iv_owner *owner, struct iv_job_exec *exec, gint64 reserved_milli,
+              gint64 now_ms)
 {
-  gint cell = owner->effects.find_move_target (owner->effects.context,
-                                               leaving_milli (owner, now_ms) + need_milli (exec),
-                                               IV_CAPACITY_EVACUATION);
+  gint cell = owner->effects.find_move_target (
+      owner->effects.context, reserved_milli + need_milli (exec), evacuation_kind (owner, exec));
   if (cell < 0)
-    return;
+    return FALSE;
   iv_event (IV_LEVEL_INFO, "job.evacuated", "job=%s to=%d placed=%u", exec->job->id, cell,
             exec->placed);
   exec->evacuate_to = cell;
   iv_owner_stop_job (owner, exec->job, now_ms);
+  return TRUE;
+}
+
+static gint
+compare_need (gconstpointer a, gconstpointer b)
+{
+  gint64 x = need_milli (*(struct iv_job_exec *const *)a);
+  gint64 y = need_milli (*(struct iv_job_exec *const *)b);
+  return x < y ? -1 : x > y;
+}
+
+/* Evacuates the smallest of @a execs that another cell has capacity for. */
+static void
+evacuate_one (struct iv_owner *owner, GPtrArray *execs, gint64 now_ms)
+{
+  gint64 reserved_milli = leaving_milli (owner, now_ms);
+  g_ptr_array_sort (execs, compare_need);
+  for (guint i = 0; i < execs->len; i++)
+    if (try_evacuate (owner, g_ptr_array_index (execs, i), reserved_milli, now_ms))
+      return;
 }
 
 gboolean
@@ -174,10 +205,11 @@
 void
 iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms)
 {
-  struct iv_job_exec *evacuated = NULL; /* the smallest: it fits most easily */
+  GPtrArray *waiting;
   if (now_ms < owner->next_moves_ms)
     return;
   owner->next_moves_ms = now_ms + MOVES_INTERVAL_MS;
+  waiting = g_ptr_array_new ();
   for (guint i = owner->execs->len; i-- > 0;)
     {
       struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
@@ -191,15 +223,14 @@
         }
       else if (exec->evacuate_to < 0 && exec->started)
         {
-          if (needs_evacuation (owner, exec, now_ms)
-              && (evacuated == NULL || need_milli (exec) < need_milli (evacuated)))
-            evacuated = exec;
+          if (needs_evacuation (owner, exec, now_ms))
+            g_ptr_array_add (waiting, exec);
         }
       else if (is_unstarted (owner, exec) && now_ms > exec->first_seen_ms + MOVE_AFTER_MS)
         try_move (owner, exec, waiting_milli (exec, &kind), kind);
     }
-  if (evacuated)
-    evacuate (owner, evacuated, now_ms);
+  evacuate_one (owner, waiting, now_ms);
+  g_ptr_array_free (waiting, TRUE);
 }
 
 void
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -128,7 +128,9 @@
   IV_CAPACITY_BATCH,        /**< batch tasks: they end, and reserve their cores */
   IV_CAPACITY_BEST_EFFORT,  /**< best-effort tasks: they use cores that others leave idle */
   IV_CAPACITY_LONG_RUNNING, /**< long-running tasks: balanced across cells */
-  IV_CAPACITY_EVACUATION    /**< long-running tasks that are down for lack of a worker */
+  /** Long-running tasks that are down for lack of a worker, of the mean size at most... */
+  IV_CAPACITY_EVACUATION,
+  IV_CAPACITY_EVACUATION_LARGE /**< ...and larger ones */
 };
 
 /** Callbacks of the owner. Replies come back through the functions named *_replied(). */
@@ -171,9 +173,11 @@
   /** For more long-running jobs, after those accepted and the reserve for batch tasks; negative
    *  when these exceed the capacity. */
   gint64 long_running_milli;
-  /** For long-running tasks that are down in other cells: what batch tasks leave when they end, in
-   *  pieces of a usual size, without those that tasks of this cell wait for. */
+  /** For long-running tasks that are down in other cells: what is free when batch tasks have ended,
+   *  without what tasks of this cell wait for. In pieces of the mean size of its long-running
+   *  tasks... */
   gint64 evacuation_milli;
+  gint64 evacuation_large_milli; /**< ...and of the largest */
 };
 
 struct iv_owner;
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -61,13 +61,14 @@
   guint roster_len;        /**< workers in the newest roster */
   guint roster_loaded;     /**< workers in the roster of the previous owner */
   gboolean deposed;
-  gboolean loading_jobs;     /**< the jobs of a previous owner are being taken over */
-  gboolean needs_dispatch;   /**< capacity was freed, or tasks or workers were added */
-  gint64 next_dispatch_ms;   /**< dispatch then even if nothing changed */
-  gint64 next_moves_ms;      /**< when to look for jobs to move next */
-  GArray *departures;        /**< of struct iv_departure, by time */
-  gint64 next_drain_ms;      /**< when to look for tasks on draining workers next */
-  gint64 batch_demand_milli; /**< decaying maximum of the cores that batch tasks needed */
+  gboolean loading_jobs;          /**< the jobs of a previous owner are being taken over */
+  gboolean needs_dispatch;        /**< capacity was freed, or tasks or workers were added */
+  gint64 next_dispatch_ms;        /**< dispatch then even if nothing changed */
+  gint64 next_moves_ms;           /**< when to look for jobs to move next */
+  gint64 mean_long_running_milli; /**< mean size of long-running tasks, cores in thousandths */
+  GArray *departures;             /**< of struct iv_departure, by time */
+  gint64 next_drain_ms;           /**< when to look for tasks on draining workers next */
+  gint64 batch_demand_milli;      /**< decaying maximum of the cores that batch tasks needed */
   struct iv_advice_query advice_query;
   gint64 next_advice_ms; /**< no advice query before */
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -17,6 +17,7 @@
 {
   gint64 long_running_milli;
   gint64 long_running_tasks;
+  gint64 largest_milli;  /* of the long-running tasks */
   gint64 unplaced_milli; /* of the long-running tasks, those without a worker */
   gint64 batch_milli;
 };
@@ -32,6 +33,7 @@
     {
       demand->long_running_milli += (gint64)stage->step->cpu_milli * unfinished;
       demand->long_running_tasks += unfinished;
+      demand->largest_milli = MAX (demand->largest_milli, (gint64)stage->step->cpu_milli);
       demand->unplaced_milli += (gint64)stage->step->cpu_milli * (unfinished - stage->placed);
     }
   else if (iv_stage_ready (occurrence, stage))
@@ -96,7 +98,7 @@
 iv_owner_free_capacity (struct iv_owner *owner, struct iv_cell_capacity *capacity)
 {
   struct demand demand = count_demand (owner);
-  gint64 piece_milli = demand.long_running_milli / MAX (demand.long_running_tasks, 1);
+  gint64 mean_milli = demand.long_running_milli / MAX (demand.long_running_tasks, 1);
   gint64 total_milli = 0;
   GHashTableIter iter;
   gpointer value;
@@ -112,9 +114,12 @@
       total_milli += worker->capacity.cpu_milli;
       capacity->free_milli += iv_worker_free_milli (worker);
       capacity->best_effort_milli += MAX (0, iv_sharing_spare_milli (worker));
-      capacity->evacuation_milli += whole_pieces_milli (worker, piece_milli);
+      capacity->evacuation_milli += whole_pieces_milli (worker, mean_milli);
+      capacity->evacuation_large_milli += whole_pieces_milli (worker, demand.largest_milli);
     }
   capacity->evacuation_milli -= demand.unplaced_milli;
+  capacity->evacuation_large_milli -= demand.unplaced_milli;
+  owner->mean_long_running_milli = mean_milli;
   /* A long-running job stays in its cell once it has started. */
   if (owner->limits.spare_rack)
     total_milli -= largest_rack_milli (owner);
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -92,6 +92,7 @@
   gboolean stalled;              /**< no run makes progress */
   gboolean domain_a_out;         /**< domain "a" is out of service */
   gint64 other_cell_milli;       /**< free capacity of another cell... */
+  gint64 other_cell_small_milli; /**< ...of which this is in pieces of the mean size... */
   gint64 other_cell_spare_milli; /**< ...of which this is kept from new long-running jobs */
   guint move_calls;              /**< jobs that the owner moved to another cell */
   gboolean defer_moves;          /**< moves are accepted, but their records are not read */
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -120,6 +120,37 @@
   sim_free (sim);
 }
 
+/* Guards against a job of large tasks that is evacuated to a cell whose free cores lie in pieces of
+   the mean size, cannot be placed there either, and comes back. */
+static void
+test_large_tasks_are_not_evacuated_into_small_pieces (void **state)
+{
+  struct sim *sim = sim_new (2);
+  struct iv_cell_capacity capacity;
+  sim_start_owner (sim);
+  sim_make_job (2, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_make_job (1, 0);
+  sim_steps[0].cpu_milli = 4000;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  assert_int_equal (sim_total_runs (sim), 3);
+  assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+  sim->other_cell_milli = 9000;
+  sim->other_cell_small_milli = 9000;
+  for (guint i = 0; i < 2; i++)
+    {
+      sim->workers[i].refuses_starts = TRUE;
+      sim_restart_worker (sim, i);
+    }
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 1);
+  assert_true (iv_job_table_find (sim->job_table, JOB_ID)->moved_to >= 0);
+  sim_free (sim);
+}
+
 /* Guards against jobs that are evacuated together to a cell with capacity for one of them, and
    against a small job that waits because a larger one does not fit. */
 static void
@@ -243,6 +274,7 @@
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
     cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
     cmocka_unit_test (test_job_on_a_draining_worker_is_evacuated),
+    cmocka_unit_test (test_large_tasks_are_not_evacuated_into_small_pieces),
     cmocka_unit_test (test_evacuated_jobs_share_the_capacity_of_a_cell),
     cmocka_unit_test (test_resubmitted_job_does_not_return_before_its_move_is_read),
     cmocka_unit_test (test_started_or_unresolved_jobs_are_not_moved),
--- a/jobs/tests/room_test.c
+++ b/jobs/tests/room_test.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #define BATCH_JOB_ID "00000000000000cc"
+#define LARGE_JOB_ID "00000000000000dd"
 
 /* When long-running jobs take every free core, batch jobs are seconds late. The recent demand of
    batch jobs is reserved, and accepted long-running jobs count before they are placed. */
@@ -93,6 +94,19 @@
   assert_int_equal (sim_total_runs (sim), 4);
   assert_true (iv_owner_free_capacity (sim->owner, &capacity));
   assert_int_equal (capacity.evacuation_milli, -5000);
+  sim_end_all_runs (sim, IV_END_FAILED);
+  sim_make_job (1, 0);
+  sim_steps[0].cpu_milli = 3000;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, LARGE_JOB_ID, &sim_spec);
+  sim->workers[3].capacity_milli = 2900;
+  sim_list_worker (sim, 3);
+  sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+  sim_advance (sim, 300);
+  assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+  /* Seven tasks wait, of 2571 on the mean; three workers hold one of the largest size. */
+  assert_int_equal (capacity.evacuation_milli, 4 * 2571 - 18000);
+  assert_int_equal (capacity.evacuation_large_milli, 3 * 3000 - 18000);
   sim_free (sim);
 }
 
