--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -60,6 +60,7 @@
   worker->entry_clock_ms = 0;
   worker->fenced = FALSE;
   worker->left_in_order = worker->draining;
+  worker->leaves_clock_ms = 0;
   worker->instance_alive_since_ms = 0;
   worker->replaced = FALSE;
   worker->clock_sampled_at_ms = 0;
