--- a/daemon/layout_task.c
+++ b/daemon/layout_task.c
@@ -64,6 +64,9 @@
   struct worker_location *location;
   if (value == NULL || iv_wire_parse_worker (key, value, len, &worker) != IV_OK)
     {
+      if (value)
+        iv_event (IV_LEVEL_WARNING, "worker.ignored", "worker=%s reason=%s", iv_quote (key),
+                  iv_quote (iv_last_message ()));
       g_hash_table_remove (task->locations, key);
       return;
     }
