Take no run for absent because its row cannot be read

A row of runs that could not be read was skipped, so that the run counted as absent from the list: its task started elsewhere while it ran on.

Without the check in the owner the new test of the owner starts a second run.

--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -135,6 +135,7 @@
   gint64 processed_end;       /**< run ends up to this sequence number were processed */
   gint64 recording_end;       /**< run ends up to this sequence number are being recorded... */
   guint64 recording_collection; /**< ...and are stored once this collection of the owner is */
+  gboolean list_partial;        /**< rows of its newest list could not be read */
   gboolean polling;             /**< a poll is in flight */
   gint64 next_poll_ms;
   guint failures; /**< consecutive requests without a reply */
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -67,6 +67,7 @@
   gint64 start_time_ms; /**< wall-clock start time of the worker instance; 0: not reported */
   GArray *runs;         /**< of struct iv_listed_run */
   GArray *ends;         /**< of struct iv_listed_end */
+  gboolean partial; /**< rows of runs could not be read: a run that is not in `runs` may exist */
 };
 
 /** Scheduling policy of a queue. */
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -387,7 +387,7 @@
         continue;
       if (iv_owner_is_doubted (run))
         iv_owner_stop_run (owner, run, now_ms);
-      if (!is_proven_absent (run, reply->clock))
+      if (reply->partial || !is_proven_absent (run, reply->clock))
         continue;
       log_absent (owner, run, reply->clock);
       iv_run_remove (run);
@@ -422,6 +422,15 @@
     }
 }
 
+static void
+note_partial_list (struct iv_fleet_worker *worker, gboolean partial)
+{
+  if (partial && !worker->list_partial)
+    iv_event (IV_LEVEL_WARNING, "worker.list_partial", "worker=%s runs=%u", worker->id,
+              worker->runs->len);
+  worker->list_partial = partial;
+}
+
 static void
 apply_poll_reply (struct iv_owner *owner, struct iv_fleet_worker *worker,
                   const struct iv_poll_reply *reply, gint64 now_ms)
@@ -445,6 +454,7 @@
         }
       note_progress (owner, run, listed, reply->start_time_ms == worker->start_time_ms, now_ms);
     }
+  note_partial_list (worker, reply->partial);
   drop_absent (owner, worker, reply, now_ms);
   iv_crash_worker_replied (owner, worker);
   stop_stalled (owner, worker, now_ms);
@@ -485,6 +495,9 @@
     }
   if (reply == NULL || outcome != IV_COMMAND_OK)
     {
+      if (outcome == IV_COMMAND_OK && worker->failures == 0)
+        iv_event (IV_LEVEL_WARNING, "worker.list_malformed", "worker=%s reason=%s", worker->id,
+                  iv_quote (iv_last_message ()));
       worker->failures++;
       worker->next_poll_ms = now_ms + POLL_RETRY_MS * MIN (worker->failures, POLL_RETRY_MAX);
       return;
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -47,6 +47,7 @@
   gint64 stop_grace_ms;     /**< a run that is stopped ends this much later */
   gboolean unreachable;     /**< no call reaches it */
   gboolean drops_replies;   /**< calls reach it, their replies are lost */
+  gboolean garbles_lists;   /**< the rows of runs in its lists cannot be read */
   gboolean replaced;        /**< an instance of another worker answers at its address */
   gboolean resets_calls;    /**< connections are reset: calls fail at once */
   gboolean refuses_starts;  /**< starts are refused for lack of capacity */
--- a/jobs/tests/bench_worker.c
+++ b/jobs/tests/bench_worker.c
@@ -167,7 +167,8 @@
   poll->start_time_ms = worker->start_time_ms;
   poll->runs = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_run));
   poll->ends = g_array_new (FALSE, FALSE, sizeof (struct iv_listed_end));
-  for (guint i = 0; i < worker->runs->len; i++)
+  poll->partial = worker->garbles_lists && worker->runs->len > 0;
+  for (guint i = 0; !worker->garbles_lists && i < worker->runs->len; i++)
     {
       const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
       struct iv_listed_run listed = { .name = run->name,
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -734,6 +734,27 @@
   sim_free (sim);
 }
 
+/* Guards against a second run of a task because its row in a list of runs could not be read. */
+static void
+test_list_that_cannot_be_read_proves_no_run_absent (void **state)
+{
+  struct sim *sim = sim_new (2);
+  sim_start_owner (sim);
+  sim_make_job (1, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 600);
+  for (guint i = 0; i < 2; i++)
+    sim->workers[i].garbles_lists = TRUE;
+  assert_true (sim_advance_without_duplicates (sim, 20000));
+  for (guint i = 0; i < 2; i++)
+    sim->workers[i].garbles_lists = FALSE;
+  assert_true (sim_advance_without_duplicates (sim, 2000));
+  assert_int_equal (sim->start_calls, 1);
+  assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -773,6 +794,7 @@
     cmocka_unit_test (test_silent_domain_counts_as_partition),
     cmocka_unit_test (test_one_silent_domain_of_many_counts_as_partition),
     cmocka_unit_test (test_suspended_owner_sends_nothing_for_old_replies),
+    cmocka_unit_test (test_list_that_cannot_be_read_proves_no_run_absent),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
