Let no entry of another writer end runs or lose a worker

An entry under the id of a real worker with a later start counted as its restart: its runs were dropped while they ran, so that their tasks ran twice, and the worker's own answers and entries, which told of an earlier start, were ignored for good. A clock far ahead made its later entries look old for good. Another address took the calls; another worker's reply there dropped the runs too.

While a worker has runs, a later start in an entry is now a claim: the owner asks the claimed instance at its address, with calls that renew no lease and discard no ends, and starts nothing there. Its own answer confirms the restart as before; one of the known instance, or two seconds of its answers, refute the claim; otherwise the runs end with their leases. An idle worker takes the entry at once, but an answer of the worker itself, or entries that go on, take it back. An entry that contradicts the address or the clock of an instance that has answered is ignored, and a reply of another instance ends runs only where this one has answered. Each is logged.

A restart is still acted on within 40 ms of simulated time after its entry, also at another address.

--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -2,10 +2,38 @@
 
 #include <string.h>
 
+struct iv_listed_worker *
+iv_listed_worker_copy (const struct iv_listed_worker *listed)
+{
+  struct iv_listed_worker *copy = g_memdup2 (listed, sizeof *listed);
+  copy->id = g_strdup (listed->id);
+  copy->service = g_strdup (listed->service);
+  copy->address = g_strdup (listed->address);
+  copy->domain = g_strdup (listed->domain);
+  copy->rack = g_strdup (listed->rack);
+  copy->labels = g_strdupv ((char **)listed->labels);
+  return copy;
+}
+
+void
+iv_listed_worker_free (struct iv_listed_worker *listed)
+{
+  if (listed == NULL)
+    return;
+  g_free ((char *)listed->id);
+  g_free ((char *)listed->service);
+  g_free ((char *)listed->address);
+  g_free ((char *)listed->domain);
+  g_free ((char *)listed->rack);
+  g_strfreev ((char **)listed->labels);
+  g_free (listed);
+}
+
 static void
 free_worker (gpointer data)
 {
   struct iv_fleet_worker *worker = data;
+  iv_listed_worker_free (worker->claim);
   g_ptr_array_set_free_func (worker->runs, g_free);
   g_ptr_array_free (worker->runs, TRUE);
   g_array_free (worker->lost_starts, TRUE);
@@ -62,6 +90,8 @@
   worker->left_in_order = worker->draining;
   worker->instance_alive_since_ms = 0;
   worker->replaced = FALSE;
+  g_clear_pointer (&worker->claim, iv_listed_worker_free);
+  worker->older_clock_ms = 0;
   worker->clock_sampled_at_ms = 0;
   worker->sample_clock_ms = 0;
   worker->lease_end_clock_ms = 0;
@@ -74,13 +104,38 @@
   worker->next_poll_ms = 0;
 }
 
+/* Whether the instance of an older entry goes on writing while the present one, which an entry
+   alone has named, has never answered. */
+static gboolean
+is_older_alive (struct iv_fleet_worker *worker, const struct iv_listed_worker *listed)
+{
+  gboolean goes_on = worker->older_clock_ms > 0 && listed->start_time_ms == worker->older_start_ms
+                     && listed->clock_ms > worker->older_clock_ms;
+  worker->older_start_ms = listed->start_time_ms;
+  worker->older_clock_ms = listed->clock_ms;
+  return goes_on && worker->instance_alive_since_ms == 0;
+}
+
+guint32
+iv_fleet_reserve_handle (struct iv_fleet *fleet)
+{
+  return ++fleet->next_handle;
+}
+
+void
+iv_fleet_set_instance (struct iv_fleet *fleet, struct iv_fleet_worker *worker, gint64 start_time_ms)
+{
+  reset_instance (fleet, worker, start_time_ms);
+  worker->capacity = (struct iv_resources){ 0 };
+}
+
 struct iv_fleet_worker *
 iv_fleet_update_worker (struct iv_fleet *fleet, const struct iv_listed_worker *listed,
                         gboolean *restarted)
 {
   struct iv_fleet_worker *worker = g_hash_table_lookup (fleet->by_id, listed->id);
   *restarted = FALSE;
-  if (worker && listed->start_time_ms < worker->start_time_ms)
+  if (worker && listed->start_time_ms < worker->start_time_ms && !is_older_alive (worker, listed))
     return worker;
   if (worker == NULL)
     {
@@ -91,7 +146,7 @@
       reset_instance (fleet, worker, listed->start_time_ms);
       g_hash_table_insert (fleet->by_id, worker->id, worker);
     }
-  else if (listed->start_time_ms > worker->start_time_ms)
+  else if (listed->start_time_ms != worker->start_time_ms)
     {
       *restarted = TRUE;
       reset_instance (fleet, worker, listed->start_time_ms);
@@ -100,6 +155,7 @@
   else if (listed->clock_ms > 0 && listed->clock_ms < worker->entry_clock_ms)
     return worker;
   worker->entry_clock_ms = listed->clock_ms;
+  worker->replaced &= g_strcmp0 (worker->address, listed->address) == 0;
   replace_string (&worker->service, listed->service);
   replace_string (&worker->address, listed->address);
   replace_string (&worker->domain, listed->domain);
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -47,6 +47,10 @@
   IV_RUN_PHASE_STOPPING     /**< a stop was sent; it uses resources until its end is listed */
 };
 
+/** A deep copy of @a listed; free it with iv_listed_worker_free(), which ignores NULL. */
+struct iv_listed_worker *iv_listed_worker_copy (const struct iv_listed_worker *listed);
+void iv_listed_worker_free (struct iv_listed_worker *listed);
+
 struct iv_fleet_worker;
 
 /** One attempt to run a task. */
@@ -123,6 +127,14 @@
   gboolean inherited;         /**< it was in the roster of the previous owner... */
   gboolean drained_with_runs; /**< ...as draining */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
+  /** An entry by which the worker has restarted, until an answer of the worker itself, or the end
+   * of its runs, decides; NULL: none. */
+  struct iv_listed_worker *claim;
+  guint32 claim_handle; /**< in calls to the instance that the claim names */
+  gint64 next_claim_poll_ms;
+  gint64 claimed_ms;     /**< when it was read first */
+  gint64 older_start_ms; /**< start and clock of the newest entry of an earlier start */
+  gint64 older_clock_ms;
   gboolean restarted;         /**< this owner knew an instance before the present one */
   gboolean fenced;            /**< it has replied under the term of this owner */
   gint64 fenced_ms;           /**< since when */
@@ -167,6 +179,14 @@
 struct iv_fleet *iv_fleet_new (void);
 void iv_fleet_free (struct iv_fleet *fleet);
 
+/** A handle that names no worker. */
+guint32 iv_fleet_reserve_handle (struct iv_fleet *fleet);
+
+/** @a worker is an instance that started at @a start_time_ms; its capacity is 0 until its entry is
+ *  read. */
+void iv_fleet_set_instance (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
+                            gint64 start_time_ms);
+
 /** Add or update a worker; a list entry older than the known one, or of an older instance, is
  *  ignored. @a restarted is set when a newer instance replaces the known one: the caller sees to
  *  the runs.
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -309,6 +309,8 @@
   gboolean restarted;
   struct iv_fleet_worker *worker = iv_fleet_find_by_id (owner->fleet, listed->id);
   gboolean was_draining = worker && worker->draining;
+  if (worker && !iv_owner_admits_entry (owner, worker, listed, now_ms))
+    return;
   worker = iv_fleet_update_worker (owner->fleet, listed, &restarted);
   if (restarted)
     iv_owner_worker_restarted (owner, worker, now_ms);
@@ -325,6 +327,7 @@
     return;
   worker->listed = FALSE;
   worker->unlisted_ms = now_ms;
+  g_clear_pointer (&worker->claim, iv_listed_worker_free);
   iv_event (IV_LEVEL_INFO, "worker.unlisted", "worker=%s runs=%u", id, worker->runs->len);
 }
 
@@ -443,6 +446,7 @@
   /* Without confirmation, a worker that is silent here may already run tasks for another owner. */
   if (confirmed && worker->runs->len > 0 && leases_expired (owner, worker, now_ms))
     drop_expired_runs (owner, worker, now_ms);
+  iv_owner_settle_claim (owner, worker, now_ms);
 }
 
 static void
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -93,6 +93,27 @@
 /** Every run on @a worker is gone: requeue their tasks. @a why is logged. */
 void iv_owner_drop_runs (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *why);
 
+/** Whether an entry of @a worker, which is known, is to be applied. Not one that contradicts what
+ * the worker has answered itself, nor yet one of a restart while the worker has runs: its own
+ * answer tells whether they have ended. rebirth.c. */
+gboolean iv_owner_admits_entry (struct iv_owner *owner, struct iv_fleet_worker *worker,
+                                const struct iv_listed_worker *listed, gint64 now_ms);
+
+/** Go on asking whether @a worker has restarted as an entry claims, and apply the claim once it has
+ * no runs. rebirth.c. */
+void iv_owner_settle_claim (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 now_ms);
+
+/** The worker whose claimed instance was asked under @a handle and has confirmed the claim, which
+ * is applied then; NULL: none. A reply of the instance before refutes it. rebirth.c. */
+struct iv_fleet_worker *iv_owner_claim_replied (struct iv_owner *owner, guint32 handle,
+                                                enum iv_command_outcome outcome,
+                                                const struct iv_poll_reply *reply, gint64 now_ms);
+
+/** @a worker has told in a reply that its instance started at @a start_time_ms and has the clock
+ * @a clock. FALSE when the reply is to be ignored, as that instance has ended. rebirth.c. */
+gboolean iv_owner_instance_replied (struct iv_owner *owner, struct iv_fleet_worker *worker,
+                                    gint64 start_time_ms, gint64 clock, gint64 now_ms);
+
 /** A newer instance of @a worker is known: requeue the tasks of the runs that the instance before
  * had listed, which died with it. It may have received the other starts and stops itself. Fences,
  *  leases and clocks of the instance before mean nothing to it. rebirth.c. */
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -480,6 +480,8 @@
                        const struct iv_poll_reply *reply, gint64 now_ms)
 {
   struct iv_fleet_worker *worker = iv_fleet_worker (owner->fleet, handle);
+  if (worker == NULL && !authority_expired (owner, now_ms))
+    worker = iv_owner_claim_replied (owner, handle, outcome, reply, now_ms);
   if (worker == NULL)
     return;
   worker->polling = FALSE;
@@ -488,7 +490,8 @@
   if (outcome == IV_COMMAND_FENCED)
     depose (owner, worker);
   worker->replaced |= outcome == IV_COMMAND_WRONG_INSTANCE;
-  if (outcome == IV_COMMAND_WRONG_INSTANCE)
+  /* The address of an instance that has never answered is known from an entry only. */
+  if (outcome == IV_COMMAND_WRONG_INSTANCE && worker->instance_alive_since_ms > 0)
     {
       iv_crash_worker_ended (owner, worker, "another_answers");
       iv_owner_drop_runs (owner, worker, "another_answers");
@@ -502,25 +505,7 @@
       worker->next_poll_ms = now_ms + POLL_RETRY_MS * MIN (worker->failures, POLL_RETRY_MAX);
       return;
     }
-  if (reply->start_time_ms > worker->start_time_ms)
-    {
-      /* An instance may be of another kind: without capacity, it gets no tasks before its entry is
-         read. */
-      struct iv_listed_worker listed
-          = { worker->id,     worker->service, worker->address,  worker->domain,      worker->rack,
-              worker->labels, { 0 },           worker->draining, reply->start_time_ms };
-      gboolean was_listed = worker->listed;
-      gboolean restarted;
-      char *address = g_strdup (worker->address);
-      listed.address = address;
-      listed.labels = g_strdupv (worker->labels);
-      iv_fleet_update_worker (owner->fleet, &listed, &restarted);
-      g_strfreev ((char **)listed.labels);
-      g_free (address);
-      worker->listed = was_listed;
-      iv_owner_worker_restarted (owner, worker, now_ms);
-    }
-  if (reply->start_time_ms > 0 && reply->start_time_ms < worker->start_time_ms)
+  if (!iv_owner_instance_replied (owner, worker, reply->start_time_ms, reply->clock, now_ms))
     return;
   note_reply (worker, reply->clock, now_ms);
   if (!worker->fenced)
--- a/jobs/rebirth.c
+++ b/jobs/rebirth.c
@@ -3,9 +3,14 @@
 #include "crash.h"
 #include "event.h"
 
+#include <string.h>
+
 #define LATE_START_MAX_MS 15000 /* a start without a reply is not carried out later */
 /* A worker does not restart in less; an idle one is polled twice in it while unconfirmed. */
 #define INSTANCE_SEEN_MS 1200
+#define CLOCK_AHEAD_MAX_MS 10000 /* a reply is not older than this when it is read */
+#define CLAIM_POLL_MS 250
+#define CLAIM_MAX_MS 2000 /* replies to polls from before the claim have arrived by then */
 #define CLOCK_SLOW_MARGIN_PERCENT 102 /* a lease on the slowest clock permitted */
 
 /* Lower bound of the worker's clock at @a at_ms, which may be before its newest sample. */
@@ -25,6 +30,8 @@
 iv_owner_trusts_instance (const struct iv_owner *owner, const struct iv_fleet_worker *worker,
                           gint64 now_ms)
 {
+  if (worker->claim)
+    return FALSE;
   if (owner->confirmed_ms >= now_ms)
     return TRUE;
   return worker->fenced_ms <= owner->confirmed_ms
@@ -133,3 +140,190 @@
                            + MAX (owner->limits.horizon_ms,
                                   owner->limits.lease_max_ms * CLOCK_SLOW_MARGIN_PERCENT / 100);
 }
+
+/* What in an entry contradicts the answers of the instance that it is about; NULL: nothing. */
+static const char *
+contradiction (const struct iv_fleet_worker *worker, const struct iv_listed_worker *listed,
+               gint64 now_ms)
+{
+  if (worker->instance_alive_since_ms == 0 || listed->start_time_ms != worker->start_time_ms)
+    return NULL;
+  if (strcmp (listed->address, worker->address) != 0)
+    return "other_address";
+  return listed->clock_ms > iv_worker_clock (worker, now_ms) + CLOCK_AHEAD_MAX_MS ? "clock_ahead"
+                                                                                  : NULL;
+}
+
+/* Calls to the claimed instance renew no lease and discard no ends. */
+static void
+poll_claimed (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  struct iv_fleet_worker claimed = *worker;
+  /* A suspended process reads entries before the tick that tells whether it still owns the cell. */
+  if (now_ms > owner->valid_until_ms || now_ms < worker->next_claim_poll_ms)
+    return;
+  worker->next_claim_poll_ms = now_ms + CLAIM_POLL_MS;
+  claimed.handle = worker->claim_handle;
+  claimed.address = (char *)worker->claim->address;
+  claimed.acked_end = 0;
+  owner->effects.poll (owner->effects.context, &claimed, 0, 0);
+}
+
+static gboolean
+has_unlisted_run (const struct iv_fleet_worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    if (!((const struct iv_run *)g_ptr_array_index (worker->runs, i))->listed)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+claim_restart (struct iv_owner *owner, struct iv_fleet_worker *worker,
+               const struct iv_listed_worker *listed, gint64 now_ms)
+{
+  gboolean claimed = worker->claim && worker->claim->start_time_ms == listed->start_time_ms;
+  iv_listed_worker_free (worker->claim);
+  worker->claim = iv_listed_worker_copy (listed);
+  if (claimed)
+    return;
+  iv_event (IV_LEVEL_INFO, "worker.restart_claimed",
+            "worker=%s life=%" G_GINT64_FORMAT " claimed=%" G_GINT64_FORMAT " runs=%u", worker->id,
+            worker->start_time_ms, listed->start_time_ms, worker->runs->len);
+  worker->claim_handle = iv_fleet_reserve_handle (owner->fleet);
+  worker->claimed_ms = now_ms;
+  worker->next_claim_poll_ms = now_ms;
+  /* A start that has reached the new instance may have got the longest lease there. */
+  if (has_unlisted_run (worker))
+    worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, iv_worker_clock (worker, now_ms)
+                                                                      + owner->limits.lease_max_ms);
+  poll_claimed (owner, worker, now_ms);
+}
+
+gboolean
+iv_owner_admits_entry (struct iv_owner *owner, struct iv_fleet_worker *worker,
+                       const struct iv_listed_worker *listed, gint64 now_ms)
+{
+  const char *reason = contradiction (worker, listed, now_ms);
+  if (reason)
+    {
+      iv_event (IV_LEVEL_WARNING, "worker.ignored", "worker=%s reason=%s", worker->id, reason);
+      return FALSE;
+    }
+  if (listed->start_time_ms <= worker->start_time_ms || worker->instance_alive_since_ms == 0
+      || worker->runs->len == 0)
+    return TRUE;
+  claim_restart (owner, worker, listed, now_ms);
+  return FALSE;
+}
+
+void
+iv_owner_settle_claim (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 now_ms)
+{
+  struct iv_listed_worker *claim;
+  gboolean restarted;
+  if (worker->claim == NULL)
+    return;
+  if (worker->runs->len > 0)
+    {
+      poll_claimed (owner, worker, now_ms);
+      return;
+    }
+  claim = g_steal_pointer (&worker->claim);
+  iv_fleet_update_worker (owner->fleet, claim, &restarted);
+  /* What may have reached the new instance before the claim has been waited for since. */
+  if (restarted)
+    iv_owner_worker_restarted (owner, worker, worker->claimed_ms);
+  iv_listed_worker_free (claim);
+}
+
+/* An instance may be of another kind: without capacity, it gets no tasks before its entry is read.
+ */
+static void
+change_instance (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 start_time_ms,
+                 gint64 now_ms)
+{
+  struct iv_listed_worker *claim = g_steal_pointer (&worker->claim);
+  gboolean restarted;
+  if (start_time_ms < worker->start_time_ms)
+    iv_event (IV_LEVEL_WARNING, "worker.entry_refuted",
+              "worker=%s life=%" G_GINT64_FORMAT " claimed=%" G_GINT64_FORMAT, worker->id,
+              start_time_ms, worker->start_time_ms);
+  iv_fleet_set_instance (owner->fleet, worker, start_time_ms);
+  iv_owner_worker_restarted (owner, worker, now_ms);
+  if (claim && claim->start_time_ms == start_time_ms)
+    iv_fleet_update_worker (owner->fleet, claim, &restarted);
+  iv_listed_worker_free (claim);
+}
+
+static void
+refute_claim (struct iv_fleet_worker *worker)
+{
+  iv_event (IV_LEVEL_WARNING, "worker.entry_refuted",
+            "worker=%s life=%" G_GINT64_FORMAT " claimed=%" G_GINT64_FORMAT, worker->id,
+            worker->start_time_ms, worker->claim->start_time_ms);
+  g_clear_pointer (&worker->claim, iv_listed_worker_free);
+}
+
+static struct iv_fleet_worker *
+find_claimed (const struct iv_fleet *fleet, guint32 handle)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct iv_fleet_worker *worker = value;
+      if (worker->claim && worker->claim_handle == handle)
+        return worker;
+    }
+  return NULL;
+}
+
+struct iv_fleet_worker *
+iv_owner_claim_replied (struct iv_owner *owner, guint32 handle, enum iv_command_outcome outcome,
+                        const struct iv_poll_reply *reply, gint64 now_ms)
+{
+  struct iv_fleet_worker *worker = find_claimed (owner->fleet, handle);
+  if (worker == NULL || reply == NULL || outcome != IV_COMMAND_OK)
+    return NULL;
+  if (reply->start_time_ms > worker->start_time_ms)
+    {
+      change_instance (owner, worker, reply->start_time_ms, now_ms);
+      return worker;
+    }
+  if (reply->start_time_ms == worker->start_time_ms)
+    refute_claim (worker);
+  return NULL;
+}
+
+/* The clock of an entry, and a claim, which the instance of the reply disproves. */
+static void
+check_claims (struct iv_fleet_worker *worker, gint64 clock, gint64 now_ms)
+{
+  if (worker->claim && now_ms > worker->claimed_ms + CLAIM_MAX_MS)
+    refute_claim (worker);
+  if (worker->entry_clock_ms <= clock + CLOCK_AHEAD_MAX_MS)
+    return;
+  iv_event (IV_LEVEL_WARNING, "worker.entry_refuted",
+            "worker=%s clock=%" G_GINT64_FORMAT " claimed=%" G_GINT64_FORMAT, worker->id, clock,
+            worker->entry_clock_ms);
+  worker->entry_clock_ms = 0;
+}
+
+gboolean
+iv_owner_instance_replied (struct iv_owner *owner, struct iv_fleet_worker *worker,
+                           gint64 start_time_ms, gint64 clock, gint64 now_ms)
+{
+  if (start_time_ms > worker->start_time_ms)
+    change_instance (owner, worker, start_time_ms, now_ms);
+  else if (start_time_ms > 0 && start_time_ms < worker->start_time_ms)
+    {
+      /* The call was sent after the entry of the later instance was read. */
+      if (worker->instance_alive_since_ms > 0)
+        return FALSE;
+      change_instance (owner, worker, start_time_ms, now_ms);
+    }
+  check_claims (worker, clock, now_ms);
+  return TRUE;
+}
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -219,6 +219,7 @@
       g_snprintf (worker->domain, sizeof worker->domain, "%s", i % 2 ? "b" : "a");
       worker->clock = 5000 + 777 * i;
       worker->start_time_ms = 1;
+      worker->address = SIM_ADDRESS;
       worker->capacity_milli = 4000;
       worker->mem_mb = 100000;
       worker->runs = g_array_new (FALSE, FALSE, sizeof (struct sim_run));
@@ -249,24 +250,33 @@
 }
 
 void
-sim_list_worker (struct sim *sim, guint i)
+sim_list_odd_entry (struct sim *sim, guint i, gint64 start_time_ms, gint64 clock_ms,
+                    const char *address)
 {
   const struct sim_worker *worker = &sim->workers[i];
   char *labels[] = { "kind", (char *)worker->rack, NULL };
   struct iv_listed_worker listed
       = { .id = worker->id,
           .service = "service",
-          .address = "127.0.0.1:1",
+          .address = address,
           .domain = worker->domain,
           .rack = worker->rack,
           .labels = labels,
           .capacity = { worker->capacity_milli, worker->mem_mb, worker->accelerators },
           .draining = worker->draining,
-          .start_time_ms = worker->start_time_ms,
-          .clock_ms = worker->clock - worker->entry_age_ms };
+          .start_time_ms = start_time_ms,
+          .clock_ms = clock_ms };
   iv_owner_worker_listed (sim->owner, &listed, sim->now_ms);
 }
 
+void
+sim_list_worker (struct sim *sim, guint i)
+{
+  const struct sim_worker *worker = &sim->workers[i];
+  sim_list_odd_entry (sim, i, worker->start_time_ms, worker->clock - worker->entry_age_ms,
+                      worker->address);
+}
+
 void
 sim_list_workers (struct sim *sim)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -13,7 +13,8 @@
 #define SIM_WORKERS_MAX 8
 #define SIM_LEASE_MAX_MS 10000 /**< a worker shortens a longer lease to this */
 #define SIM_DEADLY_MAX 8
-#define SIM_DOWN_MS 3000 /**< a worker that crashed is back after this */
+#define SIM_ADDRESS "127.0.0.1:1" /**< of every worker at first: its id tells it apart */
+#define SIM_DOWN_MS 3000          /**< a worker that crashed is back after this */
 
 /** A run on a simulated worker. */
 struct sim_run
@@ -47,6 +48,8 @@
   gint64 stop_grace_ms;     /**< a run that is stopped ends this much later */
   gboolean unreachable;     /**< no call reaches it */
   gboolean drops_replies;   /**< calls reach it, their replies are lost */
+  const char *address;
+  gboolean other_elsewhere; /**< calls to any other address reach an instance of another worker */
   gboolean garbles_lists;   /**< the rows of runs in its lists cannot be read */
   gboolean replaced;        /**< an instance of another worker answers at its address */
   gboolean resets_calls;    /**< connections are reset: calls fail at once */
@@ -129,6 +132,11 @@
 /** The owner reads the present entry of a worker. */
 void sim_list_worker (struct sim *sim, guint worker);
 
+/** The owner reads an entry of another writer under the id of a worker: its present one but for
+ * these values. Calls to another address than the worker's do not reach it. */
+void sim_list_odd_entry (struct sim *sim, guint worker, gint64 start_time_ms, gint64 clock_ms,
+                         const char *address);
+
 /** Advance the simulated time by @a ms in small steps. */
 void sim_advance (struct sim *sim, gint64 ms);
 
--- a/jobs/tests/bench_private.h
+++ b/jobs/tests/bench_private.h
@@ -33,6 +33,7 @@
   gint64 reply_ms;      /* when the reply arrives; a timeout arrives CALL_TIMEOUT_MS later */
   gint64 wait_until_ms; /* a poll without new ends gets its reply then */
   gint64 late_ms;       /* carried out this long after it was sent, without a reply */
+  char address[32];     /* to which it was sent */
   gboolean dropped;     /* its connection was reset before the worker handled it */
   gboolean done;        /* handled by the worker, or its timeout was delivered */
   enum iv_command_outcome outcome;
--- a/jobs/tests/bench_worker.c
+++ b/jobs/tests/bench_worker.c
@@ -23,6 +23,7 @@
   call->term = sim->term;
   call->worker = sim_worker_index (sim, worker->id);
   call->handle = worker->handle;
+  g_strlcpy (call->address, worker->address, sizeof call->address);
   call->sent_ms = sim->now_ms;
   call->reply_ms = sim->now_ms + CALL_LATENCY_MS;
   g_ptr_array_add (sim->calls, call);
@@ -186,13 +187,19 @@
   return poll;
 }
 
+static gboolean
+is_misdirected (const struct sim *sim, const struct sim_call *call)
+{
+  return strcmp (call->address, sim->workers[call->worker].address) != 0;
+}
+
 static void
 handle_call (struct sim *sim, struct sim_call *call)
 {
   struct sim_worker *worker = &sim->workers[call->worker];
   call->done = TRUE;
   call->clock = worker->clock;
-  if (worker->replaced)
+  if (worker->replaced || is_misdirected (sim, call))
     {
       call->outcome = IV_COMMAND_WRONG_INSTANCE;
       call->clock = 0;
@@ -278,7 +285,8 @@
         return FALSE;
       if (call->kind == CALL_STOP && sim->now_ms < call->sent_ms + worker->stop_delay_ms)
         return FALSE;
-      if (worker->unreachable || worker->resets_calls || call->dropped)
+      if (worker->unreachable || worker->resets_calls || call->dropped
+          || (is_misdirected (sim, call) && !worker->other_elsewhere))
         {
           call->outcome = IV_COMMAND_UNKNOWN;
           if (sim->now_ms < call->reply_ms + (worker->resets_calls ? 0 : CALL_TIMEOUT_MS))
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -204,6 +204,9 @@
   iv_owner_stop_replied (sim->owner, handle, &name, number, IV_COMMAND_OK, 1, sim->now_ms);
   reply.start_time_ms = sim->workers[0].start_time_ms;
   iv_owner_poll_replied (sim->owner, worker->handle, IV_COMMAND_OK, &reply, sim->now_ms);
+  iv_owner_stop_replied (sim->owner, handle, &name, number, IV_COMMAND_OK, 101, sim->now_ms);
+  reply.clock = 200;
+  iv_owner_poll_replied (sim->owner, worker->handle, IV_COMMAND_OK, &reply, sim->now_ms);
   sim_advance (sim, 500);
   assert_int_equal (sim->start_calls, 1);
   g_array_free (reply.runs, TRUE);
@@ -211,20 +214,26 @@
   sim_free (sim);
 }
 
-/* What the instance before had listed died with it: its tasks start again at once. */
+/* What the instance before had listed died with it: its tasks start again at once, also when the
+   new instance has another address. */
 static void
 test_listed_runs_end_with_their_instance (void **state)
 {
-  struct sim *sim = cell_with_idle_workers (100);
-  sim_submit (sim, JOB_ID, &sim_spec);
-  sim_advance (sim, 600);
-  sim_restart_worker (sim, 0);
-  give_capacity (sim);
-  sim_list_workers (sim);
-  sim_advance (sim, 40);
-  assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
-  assert_int_equal (sim->start_calls, 2);
-  sim_free (sim);
+  static const char *const addresses[] = { SIM_ADDRESS, "127.0.0.1:3" };
+  for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      struct sim *sim = cell_with_idle_workers (100);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 600);
+      sim_restart_worker (sim, 0);
+      sim->workers[0].address = addresses[i];
+      give_capacity (sim);
+      sim_list_workers (sim);
+      sim_advance (sim, 40);
+      assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+      assert_int_equal (sim->start_calls, 2);
+      sim_free (sim);
+    }
 }
 
 /* The next owner, which the simulation does not have, runs the first task on worker 1; both workers
@@ -306,6 +315,162 @@
   sim_free (sim);
 }
 
+/* An entry of another writer under the id of a worker. */
+struct odd_entry
+{
+  const char *name;
+  gint64 later_ms;   /* its start, after the worker's */
+  gint64 clock_ms;   /* 0: none; else after the worker's */
+  gboolean misleads; /* it names another address... */
+  gboolean answered; /* ...where another worker answers */
+};
+
+static const struct odd_entry odd_entries[]
+    = { { "start 1 ms later", 1 },
+        { "start 1 ms later, with a clock", 1, 10 },
+        { "start a minute later", 60000, 10 },
+        { "start in a year", G_GINT64_CONSTANT (31536000000) },
+        { "clock far ahead", 0, G_GINT64_CONSTANT (200000000000000) },
+        { "start and clock far ahead", G_GINT64_CONSTANT (31536000000),
+          G_GINT64_CONSTANT (200000000000000) },
+        { "other address", 0, 10, TRUE },
+        { "other address of another worker", 0, 10, TRUE, TRUE },
+        { "other address, later start", 1, 10, TRUE },
+        { "other address of another worker, later start", 1, 10, TRUE, TRUE } };
+
+static void
+list_odd_entry (struct sim *sim, guint worker, const struct odd_entry *entry)
+{
+  sim->workers[worker].other_elsewhere = entry->answered;
+  sim_list_odd_entry (sim, worker, sim->workers[worker].start_time_ms + entry->later_ms,
+                      entry->clock_ms > 0 ? sim->workers[worker].clock + entry->clock_ms : 0,
+                      entry->misleads ? "127.0.0.1:2" : SIM_ADDRESS);
+}
+
+/* The worker writes its entry each second. FALSE once a task has two runs. */
+static gboolean
+heartbeats_without_duplicates (struct sim *sim, guint worker, guint seconds)
+{
+  for (guint i = 0; i < seconds; i++)
+    {
+      if (!sim_advance_without_duplicates (sim, 1000))
+        return FALSE;
+      sim_list_worker (sim, worker);
+    }
+  return TRUE;
+}
+
+/* Guards against the end of a run by an entry that another writer left under the id of its worker:
+   the task started elsewhere while it ran on, and the worker was lost. */
+static void
+test_odd_entry_ends_no_run (void **state)
+{
+  guint failures = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (odd_entries); i++)
+    {
+      struct sim *sim = cell_with_idle_workers (100);
+      const struct iv_fleet_worker *worker;
+      gboolean single;
+      gboolean usable;
+      sim_steps[0].flags = IVJ_LONG_RUNNING;
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 600);
+      assert_int_equal (sim->workers[0].runs->len, 1);
+      give_capacity (sim);
+      list_odd_entry (sim, 0, &odd_entries[i]);
+      single = heartbeats_without_duplicates (sim, 0, 30);
+      worker = iv_fleet_find_by_id (iv_owner_fleet (sim->owner), "w0");
+      usable = worker->fenced && worker->failures == 0 && strcmp (worker->address, SIM_ADDRESS) == 0
+               && worker->start_time_ms == sim->workers[0].start_time_ms
+               && worker->entry_clock_ms <= sim->workers[0].clock && worker->claim == NULL;
+      if (!single || !usable || sim->start_calls > 1 || sim_running_count (sim, JOB_ID, 0, 0) != 1)
+        {
+          print_error ("%s: single=%d usable=%d starts=%u running=%u\n", odd_entries[i].name,
+                       single, usable, sim->start_calls, sim_running_count (sim, JOB_ID, 0, 0));
+          failures++;
+        }
+      sim_free (sim);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* Guards against the loss of an idle worker by such an entry, which was read before the worker had
+   answered, or after it. */
+static void
+test_odd_entry_loses_no_idle_worker (void **state)
+{
+  guint failures = 0;
+  for (guint i = 0; i < 2 * G_N_ELEMENTS (odd_entries); i++)
+    {
+      const struct odd_entry *entry = &odd_entries[i / 2];
+      gboolean first = i % 2 == 0;
+      struct sim *sim = sim_new (1);
+      sim->workers[0].unreachable = first;
+      sim_start_owner (sim);
+      sim_advance (sim, 3000);
+      list_odd_entry (sim, 0, entry);
+      sim_advance (sim, 3000);
+      sim->workers[0].unreachable = FALSE;
+      heartbeats_without_duplicates (sim, 0, 15);
+      sim->workers[0].capacity_milli = 2000;
+      heartbeats_without_duplicates (sim, 0, 5);
+      sim_make_job (2, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 2000);
+      if (sim_total_runs (sim) != 1 || sim->over_capacity > 0)
+        {
+          print_error ("%s%s: runs=%u over_capacity=%u\n", entry->name,
+                       first ? ", before it answered" : "", sim_total_runs (sim),
+                       sim->over_capacity);
+          failures++;
+        }
+      sim_free (sim);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* Guards against the loss of an idle worker that writes no entry after such a one: its own answers
+   count. */
+static void
+test_own_answer_refutes_an_entry (void **state)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      struct sim *sim = sim_new (1);
+      const struct iv_fleet_worker *worker;
+      sim->workers[0].unreachable = i > 0;
+      sim_start_owner (sim);
+      sim_advance (sim, 3000);
+      sim_list_odd_entry (sim, 0, 60000, 0, SIM_ADDRESS);
+      sim->workers[0].unreachable = FALSE;
+      sim_advance (sim, 3000);
+      worker = iv_fleet_find_by_id (iv_owner_fleet (sim->owner), "w0");
+      assert_true (worker->fenced);
+      assert_int_equal (worker->start_time_ms, sim->workers[0].start_time_ms);
+      sim_free (sim);
+    }
+}
+
+/* Guards against a second run while the first, which reached a new instance unnoticed, has a lease
+   as long as any: the worker falls silent when its entry tells of the restart. */
+static void
+test_claimed_restart_counts_the_longest_lease (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (20000);
+  sim_restart_worker (sim, 0);
+  sim->workers[0].next_entry_ms = 0;
+  sim->workers[0].drops_replies = TRUE;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 20);
+  assert_int_equal (sim->workers[0].runs->len, 1);
+  give_capacity (sim);
+  sim_list_workers (sim);
+  sim->workers[0].unreachable = TRUE;
+  assert_true (sim_advance_without_duplicates (sim, 14000));
+  assert_int_equal (sim_running_count (sim, JOB_ID, 0, 0), 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -319,6 +484,10 @@
     cmocka_unit_test (test_unconfirmed_owner_starts_nothing_on_new_instances),
     cmocka_unit_test (test_unconfirmed_owner_learns_of_the_next),
     cmocka_unit_test (test_unconfirmed_owner_starts_on_known_instances),
+    cmocka_unit_test (test_odd_entry_ends_no_run),
+    cmocka_unit_test (test_odd_entry_loses_no_idle_worker),
+    cmocka_unit_test (test_own_answer_refutes_an_entry),
+    cmocka_unit_test (test_claimed_restart_counts_the_longest_lease),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
