Test a worker that never answers

An entry of another writer may name a worker that does not exist. Measured in the simulated cell, on unchanged code: it is asked 34 times a minute when calls time out and 61 times when they are refused, the owner does not count as partitioned, its capacity is not counted, it is not handed over, and the next owner settles without it. So nothing changes but the test.

--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -36,6 +36,7 @@
   call->lease_end_clock_ms = lease_end_clock_ms;
   call->acked_end = worker->acked_end;
   call->wait_until_ms = sim->now_ms + wait_ms;
+  sim->workers[call->worker].polls++;
 }
 
 static void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -49,6 +49,7 @@
   gboolean unreachable;     /**< no call reaches it */
   gboolean drops_replies;   /**< calls reach it, their replies are lost */
   const char *address;
+  guint polls;              /**< polls that were sent to it */
   gboolean other_elsewhere; /**< calls to any other address reach an instance of another worker */
   gboolean garbles_lists;   /**< the rows of runs in its lists cannot be read */
   gboolean replaced;        /**< an instance of another worker answers at its address */
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -476,6 +476,41 @@
   sim_free (sim);
 }
 
+/* Guards against an entry of another writer that names a worker which never answers: it is asked
+   seldom, and neither partitions an owner, nor delays the next one, nor counts as capacity. */
+static void
+test_worker_that_never_answers (void **state)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      struct sim *sim = sim_new (5);
+      struct sim_worker *never = &sim->workers[4];
+      struct iv_cell_capacity capacity;
+      GPtrArray *unresolved;
+      never->unreachable = TRUE;
+      never->resets_calls = i > 0;
+      never->capacity_milli = never->mem_mb = G_MAXINT32;
+      g_strlcpy (never->domain, "z", sizeof never->domain);
+      sim_start_owner (sim);
+      sim_make_job (1, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 60000);
+      print_message ("polls in a minute: %u\n", never->polls);
+      assert_in_range (never->polls, 20, 65);
+      assert_false (iv_owner_is_partitioned (sim->owner));
+      assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+      assert_int_equal (capacity.free_milli, 4 * 4000 - 2000);
+      unresolved = iv_owner_unresolved_workers (sim->owner);
+      assert_int_equal (unresolved->len, 1);
+      g_ptr_array_free (unresolved, TRUE);
+      sim_start_owner (sim);
+      sim_advance (sim, 100);
+      assert_true (iv_owner_free_capacity (sim->owner, &capacity));
+      assert_int_equal (capacity.free_milli, 4 * 4000 - 2000);
+      sim_free (sim);
+    }
+}
+
 int
 main (void)
 {
@@ -496,6 +531,7 @@
     cmocka_unit_test (test_silent_draining_worker_stays_recorded_until_its_lease_ends),
     cmocka_unit_test (test_unresolved_draining_worker_is_waited_for),
     cmocka_unit_test (test_unresolved_worker_missing_from_the_list_is_waited_for),
+    cmocka_unit_test (test_worker_that_never_answers),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
