Read past records that cannot be read

A read whose records all have no readable key counted as the end of the stream: what waits for the stream to be caught up (claims, starts that rely on domains out of service) went on with what was known before.

--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -206,8 +206,8 @@
   handle_success (stream);
   for (guint i = 0; i < records->rows->len; i++)
     apply_record (stream, &g_array_index (records->rows, struct iv_store_record, i));
+  more_to_read = records->next < records->end && records->next > stream->position;
   stream->position = records->next;
-  more_to_read = records->next < records->end && records->rows->len > 0;
   if (!more_to_read)
     {
       stream->caught_up_boot_ms = stream->sent_boot_ms;
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -142,6 +142,44 @@
   iv_stream_close (stream);
 }
 
+static void
+on_barrier (void *context)
+{
+  *(int *)context = has_value ("b", "2") ? 1 : -1;
+}
+
+/* Guards against a key cut at a zero byte, which named the record of another key, and against a
+   stream that takes itself for caught up after a read of records that cannot be read. */
+static void
+test_unreadable_records (void **state)
+{
+  static const struct
+  {
+    const char *bytes;
+    gsize len;
+  } rows[] = { { "", 0 }, { "\0", 1 }, { "\5a", 2 }, { "\3a\0x9", 5 }, { "\2a\0", 3 } };
+  struct iv_stream *stream;
+  gint64 end;
+  int released = 0;
+  store_standin_put (standin, TOPIC, "a", "1");
+  stream = start_stream ();
+  run_until_value ("a", "1");
+  while (iv_stream_position (stream) < 1)
+    uv_run (loop, UV_RUN_ONCE);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    store_standin_put_raw (standin, TOPIC, rows[i].bytes, rows[i].len);
+  store_standin_put (standin, TOPIC, "b", "2");
+  standin->one_by_one = TRUE;
+  iv_stream_barrier (stream, on_barrier, &released);
+  end = (gint64)uv_now (loop) + TIMEOUT_MS;
+  while (released == 0 && (gint64)uv_now (loop) < end)
+    uv_run (loop, UV_RUN_ONCE);
+  standin->one_by_one = FALSE;
+  assert_int_equal (released, 1);
+  assert_true (has_value ("a", "1"));
+  iv_stream_close (stream);
+}
+
 struct outcome
 {
   gboolean done;
@@ -267,6 +305,7 @@
     cmocka_unit_test_setup_teardown (test_load_then_changes, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_expired_position_causes_reload, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_reads_are_retried, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_unreadable_records, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_records_share_an_append, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lost_response_is_resolved, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_append_is_unavailable, set_up, tear_down),
