--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -180,6 +180,80 @@
   iv_stream_close (stream);
 }
 
+struct replies
+{
+  guint count;
+  enum iv_store_outcome append, join, newest, read;
+};
+
+static void
+on_append_reply (void *context, enum iv_store_outcome outcome, gint64 end)
+{
+  ((struct replies *)context)->append = outcome;
+  ((struct replies *)context)->count++;
+}
+
+static void
+on_join_reply (void *context, const struct iv_store_membership *membership)
+{
+  ((struct replies *)context)->join = membership->outcome;
+  ((struct replies *)context)->count++;
+}
+
+static void
+on_newest_reply (void *context, const struct iv_store_records *records)
+{
+  ((struct replies *)context)->newest = records->outcome;
+  ((struct replies *)context)->count++;
+}
+
+static void
+on_read_reply (void *context, const struct iv_store_records *records)
+{
+  ((struct replies *)context)->read = records->outcome;
+  ((struct replies *)context)->count++;
+}
+
+/* Guards against offsets, terms and partitions taken from replies of the store that hold none: an
+   owner whose claim "ends at 0" does not wait until it has read the claim. */
+static void
+test_odd_numbers_of_the_store (void **state)
+{
+  static const char *const numbers[] = {
+    "null", "-1", "\"7\"", "1e300", "0.5", "9223372036854775807", "[]", "99999999999999999999"
+  };
+  struct iv_store_writer writer = { "w", 1, 1 };
+  GByteArray *body = g_byte_array_new ();
+  guint failures = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      struct replies replies = { 0 };
+      gint64 deadline = (gint64)uv_now (loop) + TIMEOUT_MS;
+      char *text = g_strdup_printf (
+          "{\"EndOffset\":%s,\"Generation\":%s,\"parts\":[],\"items\":[]}", numbers[i], numbers[i]);
+      standin->odd_body = text;
+      iv_store_append (store, TOPIC, &writer, body, deadline, on_append_reply, &replies);
+      iv_store_join (store, "g", "m", 1000, 0, deadline, on_join_reply, &replies);
+      iv_store_newest (store, TOPIC, NULL, deadline, on_newest_reply, &replies);
+      iv_store_read (store, TOPIC, 0, 0, deadline, on_read_reply, &replies);
+      while (replies.count < 4)
+        uv_run (loop, UV_RUN_ONCE);
+      if (replies.append != IV_STORE_UNKNOWN || replies.join != IV_STORE_UNKNOWN
+          || replies.newest != IV_STORE_UNKNOWN || replies.read != IV_STORE_UNKNOWN)
+        {
+          print_error ("%s: append=%s join=%s newest=%s read=%s\n", numbers[i],
+                       iv_store_outcome_name (replies.append), iv_store_outcome_name (replies.join),
+                       iv_store_outcome_name (replies.newest),
+                       iv_store_outcome_name (replies.read));
+          failures++;
+        }
+      standin->odd_body = NULL;
+      g_free (text);
+    }
+  g_byte_array_free (body, TRUE);
+  assert_int_equal (failures, 0);
+}
+
 struct outcome
 {
   gboolean done;
@@ -306,6 +380,7 @@
     cmocka_unit_test_setup_teardown (test_expired_position_causes_reload, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_reads_are_retried, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_unreadable_records, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_odd_numbers_of_the_store, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_records_share_an_append, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lost_response_is_resolved, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_append_is_unavailable, set_up, tear_down),
