Follow no claim with an impossible term

A record of a claim with the largest term left its cell without an owner for good: each later claim counts on from the newest term, and overflowed. A claim whose term is not one, or with which the numbers of runs would overflow, is now ignored and logged; the numbers of a cell's load are limited to what sums can hold.

A new test of the whole host puts 23 odd records into the three topics, one after the other, and a job has to complete after each.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define CLAIM_TIMEOUT_MS 1000
+#define TERM_MAX (G_MAXINT64 >> 24) /* the numbers of runs begin at a multiple of the term */
 #define HANDOVER_TIMEOUT_MS 500
 #define RECLAIM_DELAY_MS 4000 /* after a release, so that another host can claim the cell */
 /* Delays before a cell without an owner is claimed. A host that holds its partition and owns no
@@ -147,7 +148,10 @@
   char *text = g_strndup (value, len);
   char *member;
   gint64 term = g_ascii_strtoll (text, &member, 10);
-  if (term > task->current_term && *member == ' ')
+  if (term <= 0 || term > TERM_MAX || *member != ' ')
+    iv_event (IV_LEVEL_WARNING, "record.ignored", "key=" IV_KEY_OWNER "%u reason=malformed_claim",
+              task->cell);
+  else if (term > task->current_term)
     {
       /* Stored between our read of the claims and our own claim. */
       if (task->claiming && term < task->claim_term)
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -168,14 +168,21 @@
     iv_cell_task_changed (app->cells[i], job);
 }
 
+/* Read a number that sums can be formed with. */
+static gint64
+read_milli (const char *text, char **rest)
+{
+  return CLAMP (g_ascii_strtoll (text, rest, 10), G_MININT64 / 4, G_MAXINT64 / 4);
+}
+
 static void
 apply_load (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
 {
   char *text = g_strndup ((const char *)value, len);
   char *rest;
-  app->loads[cell].capacity.free_milli = g_ascii_strtoll (text, &rest, 10);
-  app->loads[cell].capacity.best_effort_milli = g_ascii_strtoll (rest, &rest, 10);
-  app->loads[cell].capacity.long_running_milli = g_ascii_strtoll (rest, NULL, 10);
+  app->loads[cell].capacity.free_milli = read_milli (text, &rest);
+  app->loads[cell].capacity.best_effort_milli = read_milli (rest, &rest);
+  app->loads[cell].capacity.long_running_milli = read_milli (rest, &rest);
   app->loads[cell].applied_ms = (gint64)uv_now (app->loop);
   g_free (text);
 }
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -221,6 +221,60 @@
   poll_until (callers_address, path, "no such job", 410);
 }
 
+/* Guards against hosts that end, or stop following a topic, because of one odd record in it: after
+   each a job still runs. */
+static void
+test_odd_records_stop_nothing (void **state)
+{
+  static const struct
+  {
+    const char *topic;
+    const char *key;
+    const char *value; /* NULL: nested 200,000 deep */
+  } rows[] = {
+    { "keyed.servers", "odd-1", NULL },
+    { "keyed.servers", "odd-2", "{\"Service\":\"s\",\"Address\":\"127.0.0.1:99999\"}" },
+    { "keyed.servers", "odd-3", "{\"born\":99999999999999999999}" },
+    { "keyed.servers", "odd 4\r\n", "\xff" },
+    { "keyed.op", "config", NULL },
+    { "keyed.op", "config", "{\"Version\":1e300,\"Routes\":[]}" },
+    { "keyed.op", "evacuate/", "\xff" },
+    { "keyed.op", "wave/1", NULL },
+    { "keyed.jobs", "layout", "18446744073709551616 9" },
+    { "keyed.jobs", "owner/0", "9223372036854775807 other" },
+    { "keyed.jobs", "owner/0", "99999999999999999999 other" },
+    { "keyed.jobs", "owner/0", "-1 other" },
+    { "keyed.jobs", "owner/0", "" },
+    { "keyed.jobs", "owner/0", "50 other" },
+    { "keyed.jobs", "owner/18446744073709551616", "9 other" },
+    { "keyed.jobs", "load/0", "9223372036854775807 -9223372036854775808 x" },
+    { "keyed.jobs", "handover/0", "-9223372036854775808 i-1 - -9223372036854775808" },
+    { "keyed.jobs", "roster/0", "\xff\xff\xff\xff" },
+    { "keyed.jobs", "model/0", "\x7f\xff\xff\xff" },
+    { "keyed.jobs", "00000000000000dd+m", "99999999999999999999" },
+    { "keyed.jobs", "00000000000000dd", "\xff\xff\xff\xff" },
+    { "keyed.jobs", "00000000000000dd+p", "\xff\xff\xff\xff" },
+    { "keyed.jobs", "owner/0", "90 other" }, /* the next owner reads these records */
+  };
+  char *nested = g_malloc0 (200001);
+  memset (nested, '[', 200000);
+  worker->run_ms = 30;
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *path = g_strdup_printf ("/q/00000000000001%02x", i);
+      print_message ("%s %s\n", rows[i].topic, rows[i].key);
+      store_standin_put (store, rows[i].topic, rows[i].key, rows[i].value ? rows[i].value : nested);
+      assert_int_equal (send_request ("POST", callers_address, path,
+                                      "{\"Steps\":[{\"Count\":1,\"Cpu\":1,\"MemMb\":1}]}")
+                            .status,
+                        200);
+      poll_until (callers_address, path, "completed", 200);
+      g_free (path);
+    }
+  assert_int_equal (worker->duplicate_starts, 0);
+  g_free (nested);
+}
+
 static void
 test_metrics_are_served (void **state)
 {
@@ -242,6 +296,7 @@
     cmocka_unit_test (test_cancelled_job_stops),
     cmocka_unit_test (test_unknown_and_malformed),
     cmocka_unit_test (test_refused_by_the_store_is_not_accepted),
+    cmocka_unit_test (test_odd_records_stop_nothing),
     cmocka_unit_test (test_metrics_are_served),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
