Reject jobs whose times or work overflow

A caller's job with a late first run and a long interval, or with an estimate of 2e18 ms, was accepted, and the products of its numbers overflowed in the owner (due times, remaining work, objective). The check of a job, which callers and records pass alike, now bounds the times of all occurrences and the work, and the objective is limited before it becomes an integer.

--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+#define TIME_MAX_MS G_GINT64_CONSTANT (253402300799999) /* the end of the year 9999 */
+#define SUM_MAX G_GINT64_CONSTANT (8000000000000000000) /* what 64 bits hold, with a margin */
+
 struct iv_job_table
 {
   GHashTable *jobs; /* from id to struct iv_job_entry */
@@ -67,24 +70,39 @@
   return TRUE;
 }
 
+/* Whether the times of all occurrences fit into 64 bits, with room for sums. */
+static gboolean
+are_times_in_range (const ivj_job *spec)
+{
+  if (spec->first_ms < 0 || spec->first_ms > TIME_MAX_MS || spec->interval_ms < 0)
+    return FALSE;
+  return spec->times == 0 || spec->interval_ms <= SUM_MAX / spec->times;
+}
+
 enum iv_status
 iv_job_validate (const ivj_job *spec)
 {
   guint64 tasks = 0;
+  double work = 0;
   if (spec->steps.steps_len == 0 || spec->steps.steps_len > IVJ_STEPS_MAX)
     return iv_fail (IV_ERR_INVALID, "a job has 1 to %d steps", IVJ_STEPS_MAX);
   for (guint i = 0; i < spec->steps.steps_len; i++)
     {
       const ivj_step *step = &spec->steps.steps_val[i];
       tasks += step->count;
+      work += (double)step->count * step->cpu_milli * (double)step->estimate_ms;
       if (step->depends.depends_len > IVJ_STEPS_MAX || strlen (step->label) > IVJ_TEXT_MAX
           || strlen (step->data_rack) > IVJ_TEXT_MAX || strlen (step->image) > IVJ_TEXT_MAX)
         return iv_fail (IV_ERR_INVALID, "step %u is too long", i);
       if (step->count == 0)
         return iv_fail (IV_ERR_INVALID, "step %u has no tasks", i);
+      if (step->estimate_ms > TIME_MAX_MS || work > SUM_MAX)
+        return iv_fail (IV_ERR_INVALID, "step %u has too much work", i);
       if (!depends_on_earlier_steps (step, i))
         return iv_fail (IV_ERR_INVALID, "step %u depends on a step that is not before it", i);
     }
+  if (!are_times_in_range (spec))
+    return iv_fail (IV_ERR_INVALID, "the times of the job are out of range");
   if (tasks > IVJ_TASKS_MAX)
     return iv_fail (IV_ERR_INVALID, "a job has at most %d tasks", IVJ_TASKS_MAX);
   return IV_OK;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -11,6 +11,7 @@
 /* The longest interval between lists of runs, which show stalls and tail latencies. */
 #define POLL_WAIT_MS 500
 #define STOP_RETRY_MS 400
+#define SPAN_MAX_MS 1e15 /* a multiple of an objective fits into 64 bits */
 /* Older samples of a worker's clock are refreshed: the error of an estimate grows by 2 % of their
    age, and the deadline of a start, which is also a lease, must not be further away than a lease.
  */
@@ -221,7 +222,8 @@
     return;
   if (exec->inherited)
     start -= MAX (0, owner->wall_ms - spec->accepted_ms);
-  span = (gint64)(policy.stretch * (double)iv_job_critical_path_ms (spec)) + policy.objective_ms;
+  span = (gint64)MIN (policy.stretch * (double)iv_job_critical_path_ms (spec), SPAN_MAX_MS);
+  span += policy.objective_ms;
   exec->objective_ms = start + span;
   exec->zero_utility_ms = start + 3 * span;
 }
