--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -11,6 +11,7 @@
 /* The longest interval between lists of runs, which show stalls and tail latencies. */
 #define POLL_WAIT_MS 500
 #define STOP_RETRY_MS 400
+#define SPAN_MAX_MS 1e15 /* a multiple of an objective fits into 64 bits */
 /* Older samples of a worker's clock are refreshed: the error of an estimate grows by 2 % of their
    age, and the deadline of a start, which is also a lease, must not be further away than a lease.
  */
@@ -223,7 +224,8 @@
     return;
   if (exec->inherited)
     start -= MAX (0, owner->wall_ms - spec->accepted_ms);
-  span = (gint64)(policy.stretch * (double)iv_job_critical_path_ms (spec)) + policy.objective_ms;
+  span = (gint64)MIN (policy.stretch * (double)iv_job_critical_path_ms (spec), SPAN_MAX_MS);
+  span += policy.objective_ms;
   exec->objective_ms = start + span;
   exec->zero_utility_ms = start + 3 * span;
 }
@@ -311,6 +313,8 @@
   gboolean restarted;
   struct iv_fleet_worker *worker = iv_fleet_find_by_id (owner->fleet, listed->id);
   gboolean was_draining = worker && worker->draining;
+  if (worker && !iv_owner_admits_entry (owner, worker, listed, now_ms))
+    return;
   worker = iv_fleet_update_worker (owner->fleet, listed, &restarted);
   if (restarted)
     iv_owner_worker_restarted (owner, worker, now_ms);
@@ -330,6 +334,7 @@
     return;
   worker->listed = FALSE;
   worker->unlisted_ms = now_ms;
+  g_clear_pointer (&worker->claim, iv_listed_worker_free);
   iv_event (IV_LEVEL_INFO, "worker.unlisted", "worker=%s runs=%u", id, worker->runs->len);
 }
 
@@ -448,6 +453,7 @@
   /* Without confirmation, a worker that is silent here may already run tasks for another owner. */
   if (confirmed && worker->runs->len > 0 && leases_expired (owner, worker, now_ms))
     drop_expired_runs (owner, worker, now_ms);
+  iv_owner_settle_claim (owner, worker, now_ms);
 }
 
 static void
