Give up a reserved worker that does not become free

Found by the review of the reservations: the worker that lacks least was kept for as long as it could hold the task, although nothing there ended; a task waited for 30 s beside a worker that became free every 200 ms, and such reservations used up the share of workers that may be reserved. A reservation without progress for 1.5 s goes to another worker. A task has one reservation at most, found by a table instead of a walk over all workers; it is renewed also when an earlier task of its stage finds none.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -357,10 +357,11 @@
 }
 
 void
-iv_crash_reserve (struct iv_fleet_worker *worker, const struct iv_job_task *task, gint64 now_ms)
+iv_crash_reserve (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
+                  const struct iv_job_task *task, gint64 now_ms)
 {
   if (!iv_reserve_is_held (worker, now_ms))
-    iv_reserve_hold (worker, task, now_ms + RESERVE_MS);
+    iv_reserve_hold (fleet, worker, task, now_ms, now_ms + RESERVE_MS);
 }
 
 void
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -43,8 +43,8 @@
                                               const struct iv_job_task *task, gint64 now_ms);
 
 /** Reserve @a worker for @a task, unless it is reserved, until its runs have proven harmless. */
-void iv_crash_reserve (struct iv_fleet_worker *worker, const struct iv_job_task *task,
-                       gint64 now_ms);
+void iv_crash_reserve (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
+                       const struct iv_job_task *task, gint64 now_ms);
 
 /** @a task has survived a start: it is under suspicion no more. */
 void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -133,6 +133,8 @@
   search->full |= task->crashes == 0;
   if (search->reserved == IV_RESERVE_DONE)
     search->reserved = iv_place_reserve (query, task, RESERVED_MAX_PERCENT);
+  else if (iv_reserve_find (query->owner->fleet, task, query->now_ms))
+    iv_place_reserve (query, task, RESERVED_MAX_PERCENT);
   return NULL;
 }
 
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -52,6 +52,7 @@
   struct iv_fleet *fleet = g_new0 (struct iv_fleet, 1);
   fleet->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_worker);
   fleet->by_handle = g_hash_table_new (NULL, NULL);
+  fleet->reserved = g_hash_table_new (NULL, NULL);
   return fleet;
 }
 
@@ -61,6 +62,7 @@
   if (fleet == NULL)
     return;
   g_hash_table_destroy (fleet->by_handle);
+  g_hash_table_destroy (fleet->reserved);
   g_hash_table_destroy (fleet->by_id);
   g_free (fleet);
 }
@@ -185,6 +187,8 @@
 void
 iv_fleet_remove (struct iv_fleet *fleet, struct iv_fleet_worker *worker)
 {
+  if (worker->reserved_for)
+    g_hash_table_remove (fleet->reserved, worker->reserved_for);
   g_hash_table_remove (fleet->by_handle, GUINT_TO_POINTER (worker->handle));
   g_hash_table_remove (fleet->by_id, worker->id);
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -158,8 +158,11 @@
   guint suspects;              /**< runs of tasks under suspicion that may crash it */
   const struct iv_job_task *reserved_for; /**< nothing else starts here: see reserve.h */
   gint64 reserved_until_ms;               /**< end of that reservation */
-  GPtrArray *runs;                        /**< of struct iv_run */
-  GArray *lost_starts;                    /**< of struct iv_lost_start */
+  double reserved_shortage;     /**< what it lacked for the task when that last became less... */
+  gint64 reserved_progress_ms;  /**< ...and when that was */
+  gint64 unreservable_until_ms; /**< it did not become free for a task that it was reserved for */
+  GPtrArray *runs;              /**< of struct iv_run */
+  GArray *lost_starts;          /**< of struct iv_lost_start */
 };
 
 /** A start without a reply, which may be carried out late by a later instance of the worker. */
@@ -174,6 +177,7 @@
 struct iv_fleet
 {
   GHashTable *by_id;     /**< from id to struct iv_fleet_worker */
+  GHashTable *reserved;  /**< from struct iv_job_task to the worker that is reserved for it */
   GHashTable *by_handle; /**< from handle to struct iv_fleet_worker */
   guint32 next_handle;   /**< the handle assigned last */
 };
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -17,6 +17,9 @@
 #define TAIL_MAX 0.70        /* share of a target beyond which no best-effort task is added */
 /* Longer than the interval between dispatches, each of which extends the reservations. */
 #define RESERVE_MS 500
+/* When no batch task on a reserved worker has ended for this long, they may run for much longer:
+   another is reserved, and this one not again for as long. */
+#define RESERVE_STALL_MS 1500
 
 static gboolean
 has_label (const struct iv_fleet_worker *worker, const char *label)
@@ -324,7 +327,7 @@
         }
     }
   if (best == NULL && busy)
-    iv_crash_reserve (busy, task, query->now_ms);
+    iv_crash_reserve (query->owner->fleet, busy, task, query->now_ms);
   return best;
 }
 
@@ -334,6 +337,7 @@
                const struct iv_job_task *task)
 {
   return iv_reserve_admits (worker, task, query->now_ms)
+         && query->now_ms >= worker->unreservable_until_ms
          && iv_place_may_become_feasible (worker, query) && has_ticket (worker, query);
 }
 
@@ -363,21 +367,37 @@
   return worker && is_usable (worker, query) && iv_crash_admits (worker, task) ? worker : NULL;
 }
 
+static void
+note_progress (struct iv_fleet_worker *worker, const ivj_step *step, gint64 now_ms)
+{
+  double shortage = iv_worker_shortage (worker, step);
+  if (shortage < worker->reserved_shortage)
+    {
+      worker->reserved_shortage = shortage;
+      worker->reserved_progress_ms = now_ms;
+    }
+  else if (now_ms >= worker->reserved_progress_ms + RESERVE_STALL_MS)
+    worker->unreservable_until_ms = now_ms + RESERVE_STALL_MS;
+}
+
 enum iv_reserve_outcome
 iv_place_reserve (const struct iv_placement_query *query, const struct iv_job_task *task,
                   guint max_percent)
 {
-  const struct iv_fleet *fleet = query->owner->fleet;
-  struct iv_fleet_worker *worker = iv_reserve_find (fleet, task, query->now_ms);
+  struct iv_fleet *fleet = query->owner->fleet;
+  gint64 now_ms = query->now_ms;
+  struct iv_fleet_worker *worker = iv_reserve_find (fleet, task, now_ms);
   gboolean is_new = worker == NULL;
+  if (worker)
+    note_progress (worker, query->stage->step, now_ms);
   if (is_new || !is_reservable (worker, query, task))
     worker = find_reservable (query, task);
   if (worker == NULL)
     return IV_RESERVE_IMPOSSIBLE;
   if (is_new
-      && iv_reserve_count (fleet, query->now_ms) * 100
+      && iv_reserve_count (fleet, now_ms) * 100
              >= MAX (100, g_hash_table_size (fleet->by_id) * max_percent))
     return IV_RESERVE_LATER;
-  iv_reserve_hold (worker, task, query->now_ms + RESERVE_MS);
+  iv_reserve_hold (fleet, worker, task, now_ms, now_ms + RESERVE_MS);
   return IV_RESERVE_DONE;
 }
--- a/jobs/reserve.h
+++ b/jobs/reserve.h
@@ -4,7 +4,7 @@
  *
  * A task that needs more than any worker has free could wait without end: whatever becomes free
  * goes to smaller tasks. Nothing else starts on a reserved worker until the task fits there or the
- * reservation ends. A worker has one reservation at most.
+ * reservation ends. A worker is reserved for one task, and a task has one worker reserved, at most.
  */
 #ifndef IV_RESERVE_H
 #define IV_RESERVE_H
@@ -25,11 +25,11 @@
 /** Number of workers that are reserved. */
 guint iv_reserve_count (const struct iv_fleet *fleet, gint64 now_ms);
 
-/** Reserve @a worker for @a task until @a until_ms. */
-void iv_reserve_hold (struct iv_fleet_worker *worker, const struct iv_job_task *task,
-                      gint64 until_ms);
+/** Reserve @a worker for @a task until @a until_ms, or extend the reservation. */
+void iv_reserve_hold (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
+                      const struct iv_job_task *task, gint64 now_ms, gint64 until_ms);
 
-/** End the reservation for @a task, which has started. */
-void iv_reserve_release (const struct iv_fleet *fleet, const struct iv_job_task *task);
+/** End the reservation for @a task. */
+void iv_reserve_release (struct iv_fleet *fleet, const struct iv_job_task *task);
 
 #endif
--- a/jobs/tests/reserve_test.c
+++ b/jobs/tests/reserve_test.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #define BATCH_JOB_ID "00000000000000cc"
+#define LONG_BATCH_JOB_ID "00000000000000dd"
 #define SETTLE_MS 400    /* for starts, ends and their records to take effect */
 #define BATCH_END_MS 100 /* a batch task ends this often */
 #define LEASE_MS 5000    /* of sim_new(): the runs of a lost worker are given up after it */
@@ -106,6 +107,24 @@
     }
 }
 
+/* Guards against a task that waits for the worker that lacks least while nothing there ends. */
+static void
+test_a_worker_that_stays_full_is_given_up (void **state)
+{
+  struct sim *sim = start_cell (2);
+  submit (sim, LONG_BATCH_JOB_ID, 1, (struct iv_resources){ 1500, 1, 0 }, 0);
+  sim_advance (sim, SETTLE_MS);
+  sim->workers[1 - find_worker (sim, LONG_BATCH_JOB_ID)].capacity_milli = 8000;
+  sim_list_workers (sim);
+  submit (sim, BATCH_JOB_ID, 400, (struct iv_resources){ 2600, 1, 0 }, 0);
+  sim_advance (sim, SETTLE_MS);
+  assert_int_equal (sim_job_runs (sim, BATCH_JOB_ID), 3);
+  submit (sim, JOB_ID, 1, (struct iv_resources){ 3000, 1, 0 }, IVJ_LONG_RUNNING);
+  sim_advance (sim, BATCH_END_MS);
+  assert_true (advance_under_batch_load (sim, WAIT_MAX_MS, JOB_ID, 1));
+  sim_free (sim);
+}
+
 /* Guards against long-running tasks that take every worker from the batch tasks for as long as they
    wait. */
 static void
@@ -130,6 +149,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_small_tasks_do_not_starve_a_large_long_running_task),
+    cmocka_unit_test (test_a_worker_that_stays_full_is_given_up),
     cmocka_unit_test (test_most_workers_stay_open_to_batch_tasks),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
