Evacuate a job that is down whatever it permits to be away

Found by the review: a job whose steps limit how many tasks may be away was never evacuated, also when none of its tasks ran.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -130,9 +130,11 @@
   load->capacity.evacuation_large_milli -= cpu_milli;
 }
 
-/* The cell with the most free capacity; NULL when no recent load exceeds @a min_milli. */
+/* The cell with the most free capacity, but not @a except; NULL when no recent load exceeds
+   @a min_milli. */
 static struct cell_load *
-find_cell_above (struct iv_fleet_app *app, enum iv_capacity_kind kind, gint64 min_milli)
+find_cell_above (struct iv_fleet_app *app, enum iv_capacity_kind kind, gint64 min_milli,
+                 const struct cell_load *except)
 {
   const struct iv_layout *layout = get_layout (app);
   gint64 oldest_ms = (gint64)uv_now (app->loop) - LOAD_MAX_AGE_MS;
@@ -140,7 +142,7 @@
   for (guint i = 0; layout && i < iv_layout_cells (layout); i++)
     {
       struct cell_load *load = &app->loads[i];
-      if (load->applied_ms == 0 || load->applied_ms < oldest_ms
+      if (load == except || load->applied_ms == 0 || load->applied_ms < oldest_ms
           || capacity_of_kind (load, kind) <= min_milli)
         continue;
       best = load;
@@ -154,7 +156,10 @@
 {
   struct iv_fleet_app *app = context;
   struct cell_load *own = &app->loads[cell];
-  struct cell_load *best = find_cell_above (app, kind, min_move_capacity (own, cpu_milli, kind));
+  gboolean evacuated = kind == IV_CAPACITY_EVACUATION || kind == IV_CAPACITY_EVACUATION_LARGE;
+  /* A cell that cannot hold a job may still have the most capacity. */
+  struct cell_load *best = find_cell_above (app, kind, min_move_capacity (own, cpu_milli, kind),
+                                            evacuated ? own : NULL);
   if (best == NULL || best == own)
     {
       if (kind == IV_CAPACITY_LONG_RUNNING)
@@ -173,9 +178,9 @@
   struct iv_fleet_app *app = context;
   gint64 need = iv_job_long_running_milli (&job->spec);
   struct cell_load *best;
-  if (need == 0 || find_cell_above (app, IV_CAPACITY_LONG_RUNNING, G_MININT64 / 2) == NULL)
+  if (need == 0 || find_cell_above (app, IV_CAPACITY_LONG_RUNNING, G_MININT64 / 2, NULL) == NULL)
     return TRUE;
-  best = find_cell_above (app, IV_CAPACITY_LONG_RUNNING, need);
+  best = find_cell_above (app, IV_CAPACITY_LONG_RUNNING, need, NULL);
   if (best)
     best->capacity.long_running_milli -= need;
   return best != NULL;
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -66,14 +66,14 @@
   return TRUE;
 }
 
-/* Whether all tasks are long-running and may be stopped at once. */
+/* Whether all tasks are long-running, and those that run may be stopped at once. */
 static gboolean
 may_be_evacuated (const struct iv_job_exec *exec)
 {
   const ivj_job *spec = &exec->job->spec;
   for (guint i = 0; i < spec->steps.steps_len; i++)
     if (!(spec->steps.steps_val[i].flags & IVJ_LONG_RUNNING)
-        || spec->steps.steps_val[i].unavailable_max)
+        || (spec->steps.steps_val[i].unavailable_max && exec->placed > 0))
       return FALSE;
   return TRUE;
 }
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -98,6 +98,31 @@
   sim_free (sim);
 }
 
+/* Guards against a job that no worker can hold and that stays, as it permits few of its tasks to be
+   away, although all of them are. */
+static void
+test_job_that_is_down_is_evacuated (void **state)
+{
+  struct sim *sim = sim_new (2);
+  sim_start_owner (sim);
+  sim_make_job (4, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_steps[0].unavailable_max = 1;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  sim->other_cell_milli = 100000;
+  sim->workers[0].refuses_starts = TRUE;
+  sim_restart_worker (sim, 0);
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 0);
+  assert_int_equal (sim_total_runs (sim), 2);
+  sim->workers[1].refuses_starts = TRUE;
+  sim_restart_worker (sim, 1);
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 1);
+  sim_free (sim);
+}
+
 /* Guards against a job that waits for its worker to leave, and for leases to end, before it is
    evacuated to the only cell with capacity. */
 static void
@@ -273,6 +298,7 @@
     cmocka_unit_test (test_long_running_jobs_are_balanced_across_cells),
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
     cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
+    cmocka_unit_test (test_job_that_is_down_is_evacuated),
     cmocka_unit_test (test_job_on_a_draining_worker_is_evacuated),
     cmocka_unit_test (test_large_tasks_are_not_evacuated_into_small_pieces),
     cmocka_unit_test (test_evacuated_jobs_share_the_capacity_of_a_cell),
