--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -14,7 +14,7 @@
 /* A job without a run for 3 s counts as lost; this leaves time to repeat a lost start. */
 #define STARVED_AFTER_MS 500
 /* Share of the workers that may be kept from batch tasks for tasks that are down. */
-#define RESERVED_MAX_PERCENT 25
+#define DOWN_RESERVED_MAX_PERCENT 25
 /* Long-running tasks that wait are logged after this long, and then at this interval. */
 #define WAIT_LOG_INTERVAL_MS 1000
 
@@ -115,8 +115,8 @@
    need the same. */
 struct search
 {
-  gboolean full; /* no worker has capacity */
-  enum iv_reserve_outcome reserved;
+  gboolean full;                    /* no worker has capacity */
+  enum iv_reserve_outcome reserved; /* of the last new reservation */
 };
 
 /* A worker for a task that may be kept waiting for one by smaller tasks: reserved when none has
@@ -132,9 +132,9 @@
     return worker;
   search->full |= task->crashes == 0;
   if (search->reserved == IV_RESERVE_DONE)
-    search->reserved = iv_place_reserve (query, task, RESERVED_MAX_PERCENT);
+    search->reserved = iv_place_reserve (query, task, DOWN_RESERVED_MAX_PERCENT);
   else if (iv_reserve_find (query->owner->fleet, task, query->now_ms))
-    iv_place_reserve (query, task, RESERVED_MAX_PERCENT);
+    iv_place_reserve (query, task, DOWN_RESERVED_MAX_PERCENT);
   return NULL;
 }
 
--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -6,11 +6,11 @@
 #define MOVE_INTERVAL_MS 100
 /* Time for all tasks of a worker to leave it: each waits for batch tasks to end elsewhere. Before,
    the cores that they would take there are of more use to batch tasks. */
-#define MOVE_AHEAD_MS 4000
+#define MOVE_AHEAD_MS 3000
 /* Share of the workers that may be kept from batch tasks for tasks that still run. */
-#define RESERVED_MAX_PERCENT 10
+#define MOVING_RESERVED_MAX_PERCENT 10
 /* The stop, its report and the start: a worker may take 900 ms to stop a run. */
-#define RESERVE_MS 1500
+#define MOVE_RESERVE_MS 1500
 
 static void
 add_in_transit (GHashTable *counts, const ivj_step *step)
@@ -57,7 +57,8 @@
 static gboolean
 is_leaving (const struct iv_fleet_worker *worker, gint64 now_ms)
 {
-  return worker->draining && worker->failures == 0
+  /* A new instance is not known to drain before its own entry is read. */
+  return worker->draining && worker->entry_clock_ms > 0 && worker->failures == 0
          && (worker->leaves_clock_ms == 0
              || iv_worker_clock (worker, now_ms) + MOVE_AHEAD_MS >= worker->leaves_clock_ms);
 }
@@ -81,13 +82,13 @@
   if (target == NULL)
     {
       if (query.reserves
-          && iv_place_reserve (&query, task, RESERVED_MAX_PERCENT) == IV_RESERVE_IMPOSSIBLE)
+          && iv_place_reserve (&query, task, MOVING_RESERVED_MAX_PERCENT) == IV_RESERVE_IMPOSSIBLE)
         exec->unholdable_ms = now_ms;
       return;
     }
   iv_event (IV_LEVEL_INFO, "run.moved", "job=%s step=%u index=%u worker=%s reason=draining to=%s",
             run->name.job, run->name.step, run->name.index, run->worker->id, target->id);
-  iv_reserve_hold (owner->fleet, target, task, now_ms, now_ms + RESERVE_MS);
+  iv_reserve_hold (owner->fleet, target, task, now_ms, now_ms + MOVE_RESERVE_MS);
   add_in_transit (in_transit, run->step);
   iv_owner_stop_run (owner, run, now_ms);
 }
@@ -102,7 +103,7 @@
                                        ? iv_reserve_find (owner->fleet, task, now_ms)
                                        : NULL;
   if (target)
-    iv_reserve_hold (owner->fleet, target, task, now_ms, now_ms + RESERVE_MS);
+    iv_reserve_hold (owner->fleet, target, task, now_ms, now_ms + MOVE_RESERVE_MS);
 }
 
 static void
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -231,12 +231,11 @@
 {
   IV_RESERVE_DONE,      /**< a worker is reserved */
   IV_RESERVE_LATER,     /**< too many workers are reserved */
-  IV_RESERVE_IMPOSSIBLE /**< no worker can hold the task, even when batch tasks have ended */
+  IV_RESERVE_IMPOSSIBLE /**< none that is usable now can hold it, even without batch tasks */
 };
 
-/** Reserve the worker that will soonest have capacity for @a task, or extend the reservation,
- * unless
- *  @a max_percent of the workers are reserved. */
+/** Reserve the worker that lacks least for @a task among those that can hold it, or extend the
+ *  reservation, unless @a max_percent of the workers are reserved. */
 enum iv_reserve_outcome iv_place_reserve (const struct iv_placement_query *query,
                                           const struct iv_job_task *task, guint max_percent);
 
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -16,7 +16,7 @@
 #define TAIL_SCORE_CAP 10.0  /* multiple of a target beyond which all score the same */
 #define TAIL_MAX 0.70        /* share of a target beyond which no best-effort task is added */
 /* Longer than the interval between dispatches, each of which extends the reservations. */
-#define RESERVE_MS 500
+#define RENEWED_FOR_MS 500
 /* When no batch task on a reserved worker has ended for this long, they may run for much longer:
    another is reserved, and this one not again for as long. */
 #define RESERVE_STALL_MS 1500
@@ -185,10 +185,12 @@
 iv_place_may_become_feasible (const struct iv_fleet_worker *worker,
                               const struct iv_placement_query *query)
 {
+  if (!query->reserves)
+    return FALSE;
   for (guint i = 0; i < CONDITION_TICKET; i++)
     if (i != CONDITION_CAPACITY && !conditions[i].holds (worker, query))
       return FALSE;
-  return query->reserves && iv_worker_can_hold (worker, query->stage->step);
+  return iv_worker_can_hold (worker, query->stage->step);
 }
 
 static gboolean
@@ -398,6 +400,6 @@
       && iv_reserve_count (fleet, now_ms) * 100
              >= MAX (100, g_hash_table_size (fleet->by_id) * max_percent))
     return IV_RESERVE_LATER;
-  iv_reserve_hold (fleet, worker, task, now_ms, now_ms + RESERVE_MS);
+  iv_reserve_hold (fleet, worker, task, now_ms, now_ms + RENEWED_FOR_MS);
   return IV_RESERVE_DONE;
 }
