--- a/jobs/reserve.c
+++ b/jobs/reserve.c
@@ -36,7 +36,7 @@
 iv_reserve_hold (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
                  const struct iv_job_task *task, gint64 now_ms, gint64 until_ms)
 {
-  if (iv_reserve_find (fleet, task, now_ms) != worker)
+  if (worker->reserved_for != task || !iv_reserve_is_held (worker, now_ms))
     {
       iv_reserve_release (fleet, task);
       if (worker->reserved_for)
