--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -120,6 +120,9 @@
 evacuation_kind (const struct iv_owner *owner, const struct iv_job_exec *exec)
 {
   const ivj_job *spec = &exec->job->spec;
+  /* Best-effort tasks reserve no cores: pieces of any size hold them. */
+  if (need_milli (exec) == 0)
+    return IV_CAPACITY_LONG_RUNNING;
   for (guint i = 0; i < spec->steps.steps_len; i++)
     if (spec->steps.steps_val[i].cpu_milli > owner->mean_long_running_milli)
       return IV_CAPACITY_EVACUATION_LARGE;
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -176,6 +176,29 @@
   sim_free (sim);
 }
 
+/* Guards against a best-effort job, which reserves no cores, that is evacuated to a cell without
+   capacity for any long-running job. */
+static void
+test_best_effort_job_needs_a_cell_with_capacity (void **state)
+{
+  struct sim *sim = sim_new (1);
+  sim_start_owner (sim);
+  sim_make_job (2, 0);
+  sim_steps[0].flags = IVJ_LONG_RUNNING | IVJ_BEST_EFFORT;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  assert_int_equal (sim_total_runs (sim), 2);
+  sim->other_cell_milli = sim->other_cell_spare_milli = 9000;
+  sim->workers[0].refuses_starts = TRUE;
+  sim_restart_worker (sim, 0);
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 0);
+  sim->other_cell_spare_milli = 0;
+  sim_advance (sim, 4000);
+  assert_int_equal (sim->move_calls, 1);
+  sim_free (sim);
+}
+
 /* Guards against jobs that are evacuated together to a cell with capacity for one of them, and
    against a small job that waits because a larger one does not fit. */
 static void
@@ -301,6 +324,7 @@
     cmocka_unit_test (test_job_that_is_down_is_evacuated),
     cmocka_unit_test (test_job_on_a_draining_worker_is_evacuated),
     cmocka_unit_test (test_large_tasks_are_not_evacuated_into_small_pieces),
+    cmocka_unit_test (test_best_effort_job_needs_a_cell_with_capacity),
     cmocka_unit_test (test_evacuated_jobs_share_the_capacity_of_a_cell),
     cmocka_unit_test (test_resubmitted_job_does_not_return_before_its_move_is_read),
     cmocka_unit_test (test_started_or_unresolved_jobs_are_not_moved),
