--- a/settings/note.c
+++ b/settings/note.c
@@ -307,7 +307,8 @@
   release->text = strndup (text, MIN (len, IVX_TEXT_BYTES_MAX));
   release->items.items_len = items->len;
   release->items.items_val = malloc ((items->len + 1) * sizeof (ivx_item));
-  memcpy (release->items.items_val, items->data, items->len * sizeof (ivx_item));
+  if (items->len > 0)
+    memcpy (release->items.items_val, items->data, items->len * sizeof (ivx_item));
 }
 
 struct iv_note *
