--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -457,6 +457,15 @@
   return count;
 }
 
+guint
+sim_find_worker (const struct sim *sim, const char *id)
+{
+  for (guint i = 0; i < sim->count; i++)
+    if (sim_worker_runs (sim, i, id) > 0)
+      return i;
+  return sim->count;
+}
+
 enum ivj_state
 sim_job_state (const struct sim *sim, const char *id)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -176,6 +176,9 @@
 guint sim_worker_runs (const struct sim *sim, guint worker, const char *id);
 guint sim_job_runs (const struct sim *sim, const char *id);
 
+/** The first worker that runs tasks of job @a id; the number of workers when none does. */
+guint sim_find_worker (const struct sim *sim, const char *id);
+
 /** State of a job as recorded. */
 enum ivj_state sim_job_state (const struct sim *sim, const char *id);
 
--- a/jobs/tests/drain_test.c
+++ b/jobs/tests/drain_test.c
@@ -38,15 +38,6 @@
   return sim;
 }
 
-static guint
-find_worker (const struct sim *sim, const char *id)
-{
-  for (guint i = 0; i < sim->count; i++)
-    if (sim_worker_runs (sim, i, id) > 0)
-      return i;
-  return sim->count;
-}
-
 static gboolean
 is_stopping (const struct sim *sim, guint worker)
 {
@@ -77,7 +68,7 @@
       print_message ("%s\n", rows[i].what);
       submit (sim, JOB_ID, 1, 3000, IVJ_LONG_RUNNING);
       sim_advance (sim, SETTLE_MS);
-      from = find_worker (sim, JOB_ID);
+      from = sim_find_worker (sim, JOB_ID);
       if (rows[i].full)
         submit (sim, OTHER_JOB_ID, 400, 1000, 0);
       sim_advance (sim, SETTLE_MS);
@@ -110,8 +101,8 @@
   sim_advance (sim, SETTLE_MS);
   submit (sim, OTHER_JOB_ID, 1, 2000, IVJ_LONG_RUNNING);
   sim_advance (sim, SETTLE_MS);
-  from = find_worker (sim, JOB_ID);
-  assert_int_not_equal (from, find_worker (sim, OTHER_JOB_ID));
+  from = sim_find_worker (sim, JOB_ID);
+  assert_int_not_equal (from, sim_find_worker (sim, OTHER_JOB_ID));
   sim_drain_worker (sim, from);
   for (gint64 i = 0; i < NOTICE_MS; i += 10)
     {
@@ -139,7 +130,7 @@
         sim->workers[j].stop_grace_ms = STOP_GRACE_MAX_MS;
       submit (sim, JOB_ID, rows[i].tasks, 4000 / rows[i].tasks, IVJ_LONG_RUNNING);
       sim_advance (sim, SETTLE_MS);
-      from = find_worker (sim, JOB_ID);
+      from = sim_find_worker (sim, JOB_ID);
       assert_int_equal (sim_worker_runs (sim, from, JOB_ID), rows[i].tasks);
       sim->workers[from].leaves_clock_ms = sim->workers[from].clock + rows[i].notice_ms;
       sim_drain_worker (sim, from);
@@ -159,7 +150,7 @@
   sim_advance (sim, SETTLE_MS);
   assert_int_equal (sim_job_runs (sim, JOB_ID), 4);
   sim->other_cell_milli = 100000;
-  sim_drain_worker (sim, find_worker (sim, JOB_ID));
+  sim_drain_worker (sim, sim_find_worker (sim, JOB_ID));
   for (gint64 ms = 0; ms < NOTICE_MS; ms += 10)
     {
       sim_advance (sim, 10);
@@ -177,7 +168,7 @@
   guint from;
   submit (sim, JOB_ID, 1, 3000, IVJ_LONG_RUNNING);
   sim_advance (sim, SETTLE_MS);
-  from = find_worker (sim, JOB_ID);
+  from = sim_find_worker (sim, JOB_ID);
   sim->workers[from].leaves_clock_ms = sim->workers[from].clock + LONG_NOTICE_MS;
   sim_drain_worker (sim, from);
   sim_advance (sim, LONG_NOTICE_MS / 2);
@@ -204,7 +195,7 @@
       sim_steps[0].unavailable_max = permitted[i];
       sim_submit (sim, JOB_ID, &sim_spec);
       sim_advance (sim, SETTLE_MS);
-      from = find_worker (sim, JOB_ID);
+      from = sim_find_worker (sim, JOB_ID);
       assert_int_equal (sim_worker_runs (sim, from, JOB_ID), 4);
       sim_drain_worker (sim, from);
       for (gint64 j = 0; j < NOTICE_MS; j += 10)
--- a/jobs/tests/reserve_test.c
+++ b/jobs/tests/reserve_test.c
@@ -41,15 +41,6 @@
   sim_submit (sim, id, &sim_spec);
 }
 
-static guint
-find_worker (const struct sim *sim, const char *id)
-{
-  for (guint i = 0; i < sim->count; i++)
-    if (sim_worker_runs (sim, i, id) > 0)
-      return i;
-  return sim->count;
-}
-
 /* Advances while one batch task after the other ends, on the workers in turn, until job @a id has
    @a count runs. FALSE when it still has not after @a ms. */
 static gboolean
@@ -97,7 +88,7 @@
       sim_advance (sim, SETTLE_MS);
       submit (sim, BATCH_JOB_ID, 400, rows[i].small, 0);
       sim_advance (sim, SETTLE_MS);
-      lost = find_worker (sim, JOB_ID);
+      lost = sim_find_worker (sim, JOB_ID);
       assert_int_not_equal (lost, sim->count);
       lose_worker (sim, lost);
       sim_advance (sim, LEASE_MS);
@@ -114,7 +105,7 @@
   struct sim *sim = start_cell (2);
   submit (sim, LONG_BATCH_JOB_ID, 1, (struct iv_resources){ 1500, 1, 0 }, 0);
   sim_advance (sim, SETTLE_MS);
-  sim->workers[1 - find_worker (sim, LONG_BATCH_JOB_ID)].capacity_milli = 8000;
+  sim->workers[1 - sim_find_worker (sim, LONG_BATCH_JOB_ID)].capacity_milli = 8000;
   sim_list_workers (sim);
   submit (sim, BATCH_JOB_ID, 400, (struct iv_resources){ 2600, 1, 0 }, 0);
   sim_advance (sim, SETTLE_MS);
