--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -6,7 +6,7 @@
 #define MOVE_INTERVAL_MS 100
 /* Time for all tasks of a worker to leave it: each waits for batch tasks to end elsewhere. Before,
    the cores that they would take there are of more use to batch tasks. */
-#define MOVE_AHEAD_MS 3000
+#define MOVE_AHEAD_MS 4000
 /* Share of the workers that may be kept from batch tasks for tasks that still run. */
 #define MOVING_RESERVED_MAX_PERCENT 10
 /* The stop, its report and the start: a worker may take 900 ms to stop a run. */
