Suspend owners that are not confirmed, and wait less after one that ended

Now an unconfirmed owner is suspended, and acts again once it is a member and has read the claims since. A missing member is replaced only after the replacing host has been a member for as long as a sound host needs to join again, or when a later process of its host is a member. In that case nobody renews leases any more: the wait is the longest lease, or the horizon since the ended owner's claim.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -1,5 +1,6 @@
 #include "cell_private.h"
 
+#include "authority.h"
 #include "event.h"
 #include "names.h"
 
@@ -60,6 +61,7 @@
       task->claiming = FALSE;
       return;
     }
+  task->replaced_claim_ms = task->claim_applied_ms;
   task->claim_term = MAX (iv_membership_generation (task->deps.membership),
                           MAX (task->lost_term, task->current_term) + 1);
   task->replaced_term = task->current_term;
@@ -78,11 +80,12 @@
 
 /* Claims after a fresh read, which shows whether another host has claimed meanwhile. */
 static void
-claim (struct iv_cell_task *task)
+claim (struct iv_cell_task *task, gboolean previous_ended)
 {
   if (task->claiming || task->resigned || task->owner || !iv_stream_loaded (task->deps.jobs))
     return;
   task->claiming = TRUE;
+  task->previous_ended = previous_ended;
   g_free (task->expected_owner);
   task->expected_owner = g_strdup (task->current_owner);
   iv_stream_barrier (task->deps.jobs, send_claim, task);
@@ -100,14 +103,15 @@
 on_members (void *context, const GPtrArray *members)
 {
   struct iv_cell_task *task = context;
+  enum iv_owner_presence presence;
   task->listing_members = FALSE;
   if (members == NULL || !may_claim (task)
       || !iv_membership_holds_cell (task->deps.membership, task->cell))
     return;
-  for (guint i = 0; i < members->len; i++)
-    if (strcmp (g_ptr_array_index (members, i), task->current_owner) == 0)
-      return;
-  claim (task);
+  presence = iv_authority_find_owner (members, task->current_owner,
+                                      iv_membership_member_ms (task->deps.membership));
+  if (presence != IV_OWNER_PRESENT)
+    claim (task, presence == IV_OWNER_ENDED);
 }
 
 /* The cell has no owner. The holder of its partition claims it, but after idle hosts if it owns
@@ -122,7 +126,7 @@
   if (task->vacant_since_ms == 0)
     task->vacant_since_ms = now;
   if ((holds_partition || idle) && now >= task->vacant_since_ms + wait_ms)
-    claim (task);
+    claim (task, FALSE);
 }
 
 /* The holder of the cell's partition replaces an owner that is no longer a member. */
@@ -134,7 +138,7 @@
   if (*task->current_owner == '\0')
     claim_vacant (task);
   else if (strcmp (task->current_owner, iv_membership_name (task->deps.membership)) == 0)
-    claim (task);
+    claim (task, FALSE);
   else if (iv_membership_holds_cell (task->deps.membership, task->cell))
     {
       task->listing_members = TRUE;
@@ -155,9 +159,13 @@
     {
       /* Stored between our read of the claims and our own claim. */
       if (task->claiming && term < task->claim_term)
-        task->replaced_term = term;
+        {
+          task->replaced_term = term;
+          task->previous_ended = FALSE;
+        }
       task->current_term = term;
       task->vacant_since_ms = 0;
+      task->claim_applied_ms = iv_cell_task_now_ms (task);
       g_free (task->current_owner);
       task->current_owner = g_strdup (member + 1);
       if (task->owner && term > task->term)
--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -18,7 +18,9 @@
   struct iv_deadline step;
   char *current_owner; /* member whose claim is the newest; "": none */
   gint64 current_term;
+  gint64 claim_applied_ms;  /* when that claim was read */
   char *expected_owner;     /* current_owner when our claim was begun */
+  gboolean previous_ended;  /* the process that is expected_owner has ended */
   gint64 lost_term;         /* new claims use a higher term than this */
   gint64 claim_sequence;    /* sequence number of our claim */
   gboolean listing_members; /* a request for the members is pending */
@@ -29,18 +31,20 @@
   struct iv_owner *owner;
   gint64 term;
   gint64 owned_since_ms;
+  gint64 suspended_since_ms;  /* the owner may not act since then; 0: it may */
   gint64 claim_not_before_ms; /* set when the cell is released to another host */
   gint64 vacant_since_ms;     /* when this host found the cell without an owner; 0: it has not */
   struct iv_worker_calls *calls;
   struct iv_recorder *recorder;
   struct iv_stream *workers;
-  guint progress_appends; /* batches of progress records not yet stored */
-  char **handover;        /* term and unresolved workers of an owner that resigned; NULL: none */
-  gint64 replaced_term;   /* term of the owner that our claim replaces */
-  GByteArray *roster;     /* newest record of the workers that may have runs; NULL: none */
-  GByteArray *model;      /* newest record of the interference model; NULL: none */
-  gint64 next_model_ms;   /* when to record the model next */
-  gint64 next_load_ms;    /* when to record the cell's free capacity next */
+  guint progress_appends;   /* batches of progress records not yet stored */
+  char **handover;          /* term and unresolved workers of an owner that resigned; NULL: none */
+  gint64 replaced_term;     /* term of the owner that our claim replaces... */
+  gint64 replaced_claim_ms; /* ...and when its claim was read */
+  GByteArray *roster;       /* newest record of the workers that may have runs; NULL: none */
+  GByteArray *model;        /* newest record of the interference model; NULL: none */
+  gint64 next_model_ms;     /* when to record the model next */
+  gint64 next_load_ms;      /* when to record the cell's free capacity next */
 };
 
 /** Time of the event loop, in ms. */
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -59,6 +59,7 @@
   task->recorder = NULL;
   task->workers = NULL;
   task->progress_appends = 0;
+  task->suspended_since_ms = 0;
   iv_deadline_unset (task->deps.deadlines, &task->step);
   iv_stream_set_read_delay (task->deps.jobs, JOBS_READ_DELAY_OTHER_MS);
 }
@@ -410,16 +411,33 @@
                                    task->deps.settings->member_ttl_ms };
 }
 
-/* An owner that the store does not confirm continues for a limited time, which is shorter while it
-   is probably partitioned from its workers too. */
+/* Whether the owner may act. Suspending it, rather than ending its ownership, spares the cell a new
+   owner when the store returns before another host has claimed the cell. */
 static gboolean
-confirmation_expired (const struct iv_cell_task *task, const struct iv_confirmation *confirmation)
+update_suspension (struct iv_cell_task *task, const struct iv_confirmation *confirmation)
 {
   const struct iv_fleet_settings *settings = task->deps.settings;
-  gint64 age_ms = iv_confirmation_age_ms (confirmation);
-  if (age_ms <= settings->owner_partition_timeout_ms)
-    return FALSE;
-  return age_ms > settings->owner_timeout_ms || iv_owner_is_partitioned (task->owner);
+  const struct iv_confirmation_limits limits
+      = { settings->owner_timeout_ms, settings->owner_partition_timeout_ms };
+  gboolean suspended = task->suspended_since_ms > 0;
+  gboolean partitioned
+      = iv_confirmation_age_ms (confirmation) > settings->owner_partition_timeout_ms
+        && iv_owner_is_partitioned (task->owner);
+  gboolean permitted = iv_confirmation_permits (confirmation, &limits, suspended, partitioned);
+  if (suspended == !permitted)
+    return permitted;
+  if (permitted)
+    iv_event (IV_LEVEL_INFO, "owner.resumed",
+              "cell=%u term=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT, task->cell,
+              task->term, iv_cell_task_now_ms (task) - task->suspended_since_ms);
+  else
+    iv_event (IV_LEVEL_WARNING, "owner.suspended",
+              "cell=%u term=%" G_GINT64_FORMAT " confirmed_ago_ms=%" G_GINT64_FORMAT, task->cell,
+              task->term, iv_confirmation_age_ms (confirmation));
+  task->suspended_since_ms = permitted ? 0 : iv_cell_task_now_ms (task);
+  if (!permitted)
+    iv_owner_suspend (task->owner, iv_cell_task_now_ms (task));
+  return permitted;
 }
 
 static void
@@ -432,11 +450,9 @@
   if (task->owner == NULL)
     return;
   confirmation = get_confirmation (task);
-  if (confirmation_expired (task, &confirmation))
-    {
-      iv_cell_task_end_ownership (task, "unconfirmed");
-      return;
-    }
+  schedule_step (task, STEP_INTERVAL_MS);
+  if (!update_suspension (task, &confirmation))
+    return;
   authority.evidence_age_ms = iv_stream_age_ms (task->deps.operators);
   authority.valid_until_ms
       = now + task->deps.settings->owner_timeout_ms - iv_confirmation_age_ms (&confirmation);
@@ -451,8 +467,6 @@
   record_model (task);
   record_load (task);
   record_progress (task);
-  if (task->owner)
-    schedule_step (task, STEP_INTERVAL_MS);
 }
 
 static void
@@ -544,6 +558,8 @@
                           iv_cell_task_now_ms (task));
   else if (task->replaced_term > 0)
     iv_owner_load_roster (task->owner, NULL, 0, iv_cell_task_now_ms (task));
+  if (task->previous_ended)
+    iv_owner_previous_ended (task->owner, task->owned_since_ms, task->replaced_claim_ms);
   if (task->handover && g_ascii_strtoll (task->handover[0], NULL, 10) == task->replaced_term)
     iv_owner_apply_handover (task->owner, task->handover + 1);
   if (task->model)
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -12,7 +12,8 @@
 
 /** The platform's task protocol permits a worker's clock to run slow by this much. */
 #define IV_WORKER_CLOCK_SLOW_PERCENT 2
-#define IV_FULL_SPEED_PERCENT 100 /**< CPU limit of a run that is not throttled */
+#define IV_LEASE_MARGIN_PERCENT 102 /**< a lease lasts this long by the slowest clock */
+#define IV_FULL_SPEED_PERCENT 100   /**< CPU limit of a run that is not throttled */
 
 /** An amount of compute resources. */
 struct iv_resources
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -44,6 +44,7 @@
   owner->term = term;
   owner->run_base = term << RUN_TERM_SHIFT;
   owner->owned_since_ms = now_ms;
+  owner->previous_until_ms = now_ms + limits->horizon_ms;
   owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->execs = g_ptr_array_new ();
   owner->unrecorded = g_ptr_array_new ();
@@ -367,7 +368,7 @@
 static gint64
 silent_horizon_ms (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
-  return MAX (owner->owned_since_ms + owner->limits.horizon_ms, worker->horizon_end_ms);
+  return MAX (owner->previous_until_ms, worker->horizon_end_ms);
 }
 
 /* Whether every lease on a silent worker has expired by the slowest possible rate of its clock. */
@@ -471,6 +472,12 @@
   g_list_free (all);
 }
 
+void
+iv_owner_suspend (struct iv_owner *owner, gint64 now_ms)
+{
+  owner->valid_until_ms = now_ms - 1;
+}
+
 void
 iv_owner_tick (struct iv_owner *owner, const struct iv_owner_authority *authority, gint64 now_ms,
                gint64 wall_ms)
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -189,13 +189,18 @@
                                const struct iv_owner_effects *effects, gint64 now_ms,
                                gint64 wall_ms);
 
-/** Ids of the workers that have a run, or may get one, that the next owner cannot learn of in
- *  another way. The caller frees the array; the strings belong to the owner. */
+/** Ids of the workers that have a run, or may get one, that the next owner cannot
+ * learn of in another way. The caller frees the array; the strings belong to the owner. */
 GPtrArray *iv_owner_unresolved_workers (const struct iv_owner *owner);
 
 /** How long runs may exist on worker @a id of that array, should it be silent from now on, ms. */
 gint64 iv_owner_unresolved_ms (struct iv_owner *owner, const char *id, gint64 now_ms);
 
+/** The process of the previous owner, which claimed the cell at @a claimed_ms, has ended by
+ *  @a ended_ms: it renews no lease since, and its own predecessors none a horizon after its claim.
+ *  To be called before iv_owner_apply_handover(). */
+void iv_owner_previous_ended (struct iv_owner *owner, gint64 ended_ms, gint64 claimed_ms);
+
 /** The previous owner shut down in order and reported its unresolved workers: wait for no others.
  *  @a fields is NULL-terminated: the ids, then IV_HANDOVER_WAITS and for each id how long runs may
  *  exist there. An earlier release reports the ids alone. */
@@ -250,6 +255,9 @@
 void iv_owner_advice_replied (struct iv_owner *owner, const struct iv_advice_reply *reply,
                               gint64 now_ms);
 
+/** The owner may not act until its next tick: replies that come before it are ignored. */
+void iv_owner_suspend (struct iv_owner *owner, gint64 now_ms);
+
 /** What the owner may rely on in a tick. */
 struct iv_owner_authority
 {
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -45,10 +45,11 @@
   gint64 term;
   gint64 run_base; /**< runs of this owner have higher numbers than this */
   gint64 owned_since_ms;
-  gint64 start_window_ms; /**< a start that is sent now expires after this */
-  gint64 wall_ms;         /**< wall clock of the present tick */
-  gint64 valid_until_ms;  /**< replies that come later are ignored: see iv_owner_authority */
-  gint64 confirmed_ms;    /**< newest tick in which no other host could own the cell */
+  gint64 previous_until_ms; /**< no run of a previous owner exists on a silent worker after this */
+  gint64 start_window_ms;   /**< a start that is sent now expires after this */
+  gint64 wall_ms;           /**< wall clock of the present tick */
+  gint64 valid_until_ms;    /**< replies that come later are ignored: see iv_owner_authority */
+  gint64 confirmed_ms;      /**< newest tick in which no other host could own the cell */
   gint64 next_load_log_ms;
   gboolean handed_over;         /**< only the workers in `unresolved` are waited for */
   GHashTable *unresolved;       /**< from worker id to gint64: until when to wait for it */
--- a/jobs/rebirth.c
+++ b/jobs/rebirth.c
@@ -11,7 +11,6 @@
 #define CLOCK_AHEAD_MAX_MS 10000 /* a reply is not older than this when it is read */
 #define CLAIM_POLL_MS 250
 #define CLAIM_MAX_MS 2000 /* replies to polls from before the claim have arrived by then */
-#define CLOCK_SLOW_MARGIN_PERCENT 102 /* a lease on the slowest clock permitted */
 
 /* Lower bound of the worker's clock at @a at_ms, which may be before its newest sample. */
 static gint64
@@ -138,7 +137,7 @@
   worker->restarted = TRUE;
   worker->horizon_end_ms = now_ms
                            + MAX (owner->limits.horizon_ms,
-                                  owner->limits.lease_max_ms * CLOCK_SLOW_MARGIN_PERCENT / 100);
+                                  owner->limits.lease_max_ms * IV_LEASE_MARGIN_PERCENT / 100);
 }
 
 /* What in an entry contradicts the answers of the instance that it is about; NULL: nothing. */
--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -49,7 +49,7 @@
   for (guint i = 0; i < ids; i++)
     {
       gint64 *until_ms = g_new (gint64, 1);
-      gint64 wait_ms = owner->limits.horizon_ms;
+      gint64 wait_ms = owner->previous_until_ms - owner->owned_since_ms;
       if (waits_known)
         wait_ms = MIN (wait_ms, g_ascii_strtoll (fields[ids + 1 + i], NULL, 10));
       *until_ms = owner->owned_since_ms + wait_ms;
@@ -57,6 +57,14 @@
     }
 }
 
+void
+iv_owner_previous_ended (struct iv_owner *owner, gint64 ended_ms, gint64 claimed_ms)
+{
+  gint64 lease_ms = owner->limits.lease_max_ms * IV_LEASE_MARGIN_PERCENT / 100;
+  gint64 until_ms = MAX (ended_ms + lease_ms, claimed_ms + owner->limits.horizon_ms);
+  owner->previous_until_ms = MIN (owner->previous_until_ms, until_ms);
+}
+
 void
 iv_owner_worker_list_loaded (struct iv_owner *owner)
 {
@@ -67,7 +75,7 @@
 iv_owner_awaited_until_ms (const struct iv_owner *owner, const char *id)
 {
   const gint64 *until_ms = g_hash_table_lookup (owner->unresolved, id);
-  return until_ms ? *until_ms : owner->owned_since_ms + owner->limits.horizon_ms;
+  return until_ms ? *until_ms : owner->previous_until_ms;
 }
 
 /* Whether a worker that the previous owner reported, and that may have runs, is unknown here. */
@@ -91,7 +99,7 @@
 {
   GHashTableIter iter;
   gpointer value;
-  if (now_ms > owner->owned_since_ms + owner->limits.horizon_ms)
+  if (now_ms > owner->previous_until_ms)
     return TRUE;
   if (!owner->workers_loaded || owner->roster_missing || lacks_unresolved (owner, now_ms))
     return FALSE;
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -345,6 +345,38 @@
   return sim;
 }
 
+/* Owner killed, its host back: guards against a cell that waits for leases which nobody renews any
+   more, and against one that does not wait for what a predecessor of that owner may have renewed.
+ */
+static void
+test_ended_owner_shortens_the_wait (void **state)
+{
+  static const struct
+  {
+    gint64 ended_ago_ms;
+    gint64 claimed_ago_ms;
+    gint64 wait_ms;
+  } rows[] = {
+    { 0, 60000, 6120 },   { 4000, 60000, 2120 }, { 0, 1000, 7600 },
+    { 4000, 1000, 7600 }, { 0, 0, 8600 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = run_one_task ();
+      sim->limits.lease_max_ms = 6000;
+      sim->workers[busy_worker (sim)].unreachable = TRUE;
+      sim_advance (sim, rows[i].ended_ago_ms);
+      sim_start_owner (sim);
+      iv_owner_previous_ended (sim->owner, sim->now_ms - rows[i].ended_ago_ms,
+                               sim->now_ms - rows[i].claimed_ago_ms);
+      assert_true (sim_advance_without_duplicates (sim, rows[i].wait_ms));
+      assert_int_equal (sim->start_calls, 1);
+      sim_advance (sim, 500);
+      assert_int_equal (sim->start_calls, 2);
+      sim_free (sim);
+    }
+}
+
 /* Guards against long-running tasks that get no worker: each new owner waited for the horizon for a
    worker that the previous one had waited for, and so had given up. */
 static void
@@ -522,6 +554,7 @@
     cmocka_unit_test (test_worker_that_left_without_runs_is_not_waited_for),
     cmocka_unit_test (test_missing_roster_is_waited_out),
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
+    cmocka_unit_test (test_ended_owner_shortens_the_wait),
     cmocka_unit_test (test_horizon_is_waited_for_once),
     cmocka_unit_test (test_handovers_do_not_add_up_their_waits),
     cmocka_unit_test (test_worker_that_never_replied_is_not_waited_for),
