Wait for workers with ends that are not recorded

Cause: an owner that resigned named the workers with runs as unresolved. Such a worker is unresolved, and recorded in the roster, until the end is stored.

test_worker_with_unrecorded_ends_is_waited_for fails without it.

--- a/jobs/takeover.c
+++ b/jobs/takeover.c
@@ -21,6 +21,14 @@
          && (worker->listed || !worker->draining || worker->drained_with_runs);
 }
 
+/* Whether @a worker has runs, or ends of runs that are not recorded yet: a next owner learns of
+   both from the worker alone. */
+static gboolean
+has_runs_or_ends (const struct iv_fleet_worker *worker)
+{
+  return worker->runs->len > 0 || worker->acked_end < worker->processed_end;
+}
+
 GPtrArray *
 iv_owner_unresolved_workers (const struct iv_owner *owner)
 {
@@ -31,7 +39,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct iv_fleet_worker *worker = value;
-      if (worker->runs->len > 0 || is_awaited (owner, worker))
+      if (has_runs_or_ends (worker) || is_awaited (owner, worker))
         g_ptr_array_add (ids, worker->id);
     }
   return ids;
@@ -136,7 +144,8 @@
 roster_state (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
   gboolean has_predecessor = owner->roster_known || owner->roster_missing;
-  gboolean may_have_runs = worker->runs->len > 0 || (has_predecessor && is_awaited (owner, worker));
+  gboolean may_have_runs
+      = has_runs_or_ends (worker) || (has_predecessor && is_awaited (owner, worker));
   if (worker->draining)
     return may_have_runs ? IV_ROSTER_DRAINING : IV_ROSTER_ABSENT;
   return may_have_runs || (worker->listed && worker->fenced) ? IV_ROSTER_NAMED : IV_ROSTER_ABSENT;
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -453,6 +453,40 @@
   return sim->now_ms - from_ms;
 }
 
+/* Thin link, hand-over: guards against a task that runs again. Its end was read, the record of it
+   was not stored when the owner resigned, and the worker's first reply to the next owner is late.
+ */
+static void
+test_worker_with_unrecorded_ends_is_waited_for (void **state)
+{
+  for (guint draining = 0; draining < 2; draining++)
+    for (guint handed_over = 0; handed_over < 2; handed_over++)
+      {
+        struct sim *sim = run_one_task ();
+        guint busy = busy_worker (sim);
+        char **fields;
+        sim->workers[busy].draining = draining;
+        sim_list_workers (sim);
+        sim->store_records = FALSE;
+        sim_end_all_runs (sim, IV_END_DONE);
+        sim_advance (sim, 300);
+        fields = hand_over (sim);
+        sim->workers[busy].unreachable = TRUE;
+        sim_start_owner (sim);
+        if (handed_over)
+          iv_owner_apply_handover (sim->owner, fields);
+        sim_advance (sim, 500);
+        sim->workers[busy].unreachable = FALSE;
+        sim->store_records = TRUE;
+        sim_advance (sim, 1000);
+        assert_int_equal (sim->start_calls, 1);
+        assert_int_equal (iv_job_table_find (sim->job_table, JOB_ID)->progress.state,
+                          IVJ_COMPLETED);
+        g_strfreev (fields);
+        sim_free (sim);
+      }
+}
+
 /* Guards against long-running tasks that get no worker: each owner that resigned before it knew all
    runs handed its wait on, and the next one waited for the whole horizon again. In the first case
    the worker is silent to both owners, in the second the first one still renewed its leases. */
@@ -556,6 +590,7 @@
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
     cmocka_unit_test (test_ended_owner_shortens_the_wait),
     cmocka_unit_test (test_horizon_is_waited_for_once),
+    cmocka_unit_test (test_worker_with_unrecorded_ends_is_waited_for),
     cmocka_unit_test (test_handovers_do_not_add_up_their_waits),
     cmocka_unit_test (test_worker_that_never_replied_is_not_waited_for),
     cmocka_unit_test (test_failed_task_waits_for_earlier_failures),
