--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -117,6 +117,12 @@
   iv_worker_start (((struct iv_cell_task *)context)->calls, worker, command);
 }
 
+static guint
+start_credit (void *context)
+{
+  return iv_call_limits_credit (((struct iv_cell_task *)context)->deps.worker_limits);
+}
+
 static void
 send_stop (void *context, const struct iv_fleet_worker *worker, const struct iv_task_name *name,
            gint64 number)
@@ -529,6 +535,7 @@
           .spare_rack = iv_layout_cells (layout) > 1 };
   struct iv_owner_effects effects = { .context = task,
                                       .start = send_start,
+                                      .start_credit = start_credit,
                                       .stop = send_stop,
                                       .poll = send_poll,
                                       .throttle = send_pace,
@@ -566,7 +573,8 @@
     iv_owner_load_model (task->owner, task->model->data, task->model->len,
                          iv_cell_task_now_ms (task));
   task->next_model_ms = iv_cell_task_now_ms (task) + MODEL_INTERVAL_MS;
-  task->calls = iv_worker_calls_new (task->deps.workers, task->deps.loop, task->term, &callbacks);
+  task->calls = iv_worker_calls_new (task->deps.workers, task->deps.loop, task->deps.worker_limits,
+                                     task->term, &callbacks);
   task->recorder
       = iv_recorder_new (task->deps.loop, task->deps.deadlines, task->deps.store, IV_TOPIC_JOBS,
                          task->writer, task->term, RECORD_BATCH_DELAY_MS, 0);
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -7,6 +7,7 @@
 #ifndef IV_CELL_TASK_H
 #define IV_CELL_TASK_H
 
+#include "call_limits.h"
 #include "layout.h"
 #include "membership.h"
 #include "stream.h"
@@ -19,6 +20,7 @@
   struct iv_deadlines *deadlines;
   struct iv_store *store;
   struct iv_http_client *workers;
+  struct iv_call_limits *worker_limits; /**< of the calls that all cells of this host make */
   struct iv_stream *jobs;
   struct iv_stream *operators; /**< configuration, and failure domains out of service */
   struct iv_job_table *job_table;
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -444,6 +444,7 @@
                                     .is_domain_in_service = is_domain_in_service,
                                     .is_idle = is_idle,
                                     .find_move_target = find_move_target };
+  deps.worker_limits = iv_call_limits_new ();
   deps.workers = iv_http_client_new (app->loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 4 * MIB);
   for (guint i = 0; i < IV_CELLS_MAX; i++)
     app->cells[i] = iv_cell_task_new (&deps, i);
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define DISPATCH_INTERVAL_MS 250 /* tail latencies and waiting times change without an event */
+#define DISPATCH_HELD_MS 25      /* the same while starts wait for earlier ones to be answered */
 /* A job without a run for 3 s counts as lost; this leaves time to repeat a lost start. */
 #define STARVED_AFTER_MS 500
 /* Share of the workers that may be kept from batch tasks for tasks that are down. */
@@ -86,6 +87,7 @@
   iv_reserve_release (owner->fleet, task);
   stage->placed++;
   exec->placed++;
+  owner->start_credit -= owner->start_credit > 0;
   if (!exec->started)
     {
       exec->started = TRUE;
@@ -148,6 +150,8 @@
     {
       struct iv_job_task *task = &stage->tasks[i];
       struct iv_fleet_worker *worker;
+      if (owner->start_credit == 0)
+        return;
       if (!may_start (owner, exec, stage, task, now_ms))
         continue;
       worker
@@ -167,8 +171,8 @@
     exec->unholdable_ms = now_ms;
 }
 
-/* Places all members or none: trial runs reserve the workers until every member has one, and are
-   removed before a start is sent. */
+/* Places all members or none, whatever credit is left, as they start together: trial runs reserve
+   the workers until every member has one, and are removed before a start is sent. */
 static void
 dispatch_gang (struct iv_owner *owner, const struct iv_placement_query *query,
                struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
@@ -180,6 +184,8 @@
   gint64 highest = 0;
   guint found;
   gboolean announced = TRUE;
+  if (owner->start_credit == 0)
+    return;
   for (guint i = 0; i < count; i++)
     {
       if (!may_start (owner, exec, stage, &stage->tasks[i], now_ms))
@@ -388,7 +394,7 @@
   if (!owner->needs_dispatch && now_ms < owner->next_dispatch_ms)
     return;
   owner->needs_dispatch = FALSE;
-  owner->next_dispatch_ms = now_ms + DISPATCH_INTERVAL_MS;
+  owner->start_credit = owner->effects.start_credit (owner->effects.context);
   candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   for (guint i = 0; i < owner->execs->len; i++)
     {
@@ -404,9 +410,11 @@
       g_array_append_val (candidates, candidate);
     }
   g_array_sort (candidates, compare_candidates);
-  for (guint i = 0; i < candidates->len; i++)
+  for (guint i = 0; i < candidates->len && owner->start_credit > 0; i++)
     dispatch_job (owner, &g_array_index (candidates, struct candidate, i), now_ms);
   g_array_free (candidates, TRUE);
+  owner->next_dispatch_ms
+      = now_ms + (owner->start_credit > 0 ? DISPATCH_INTERVAL_MS : DISPATCH_HELD_MS);
   /* Tasks that are down come before those that will be. */
   iv_owner_move_from_draining (owner, now_ms);
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -140,6 +140,8 @@
   void *context; /**< first argument of every callback */
   void (*start) (void *context, const struct iv_fleet_worker *worker,
                  const struct iv_start_command *command);
+  /** How many starts may be sent now. The others wait in the order of the queue. */
+  guint (*start_credit) (void *context);
   void (*stop) (void *context, const struct iv_fleet_worker *worker,
                 const struct iv_task_name *name, gint64 number);
   /** Request the runs and ends of @a worker, and extend the leases of its runs to
@@ -189,7 +191,7 @@
                                const struct iv_owner_effects *effects, gint64 now_ms,
                                gint64 wall_ms);
 
-/** Ids of the workers that have a run, or may get one, that the next owner cannot
+/** Ids of the workers that have a run, may get one, or have ended one, that the next owner cannot
  * learn of in another way. The caller frees the array; the strings belong to the owner. */
 GPtrArray *iv_owner_unresolved_workers (const struct iv_owner *owner);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -65,6 +65,7 @@
   gboolean loading_jobs;          /**< the jobs of a previous owner are being taken over */
   gboolean needs_dispatch;        /**< capacity was freed, or tasks or workers were added */
   gint64 next_dispatch_ms;        /**< dispatch then even if nothing changed */
+  guint start_credit;             /**< starts that may still be sent in this dispatch */
   gint64 next_moves_ms;           /**< when to look for jobs to move next */
   gint64 mean_long_running_milli; /**< mean size of long-running tasks, cores in thousandths */
   GArray *departures;             /**< of struct iv_departure, by time */
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -18,6 +18,12 @@
   sim->start_calls++;
 }
 
+static guint
+on_start_credit (void *context)
+{
+  return ((struct sim *)context)->start_credit;
+}
+
 static void
 on_stop (void *context, const struct iv_fleet_worker *worker, const struct iv_task_name *name,
          gint64 number)
@@ -202,6 +208,7 @@
   sim->confirmed = TRUE;
   sim->authority_ms = 8000;
   sim->store_records = TRUE;
+  sim->start_credit = G_MAXUINT;
   sim->store_rosters = TRUE;
   sim->attempts = 3;
   sim->crash_after_ms = 10;
@@ -323,6 +330,7 @@
 {
   struct iv_owner_effects effects = { .context = sim,
                                       .start = on_start,
+                                      .start_credit = on_start_credit,
                                       .stop = on_stop,
                                       .poll = on_poll,
                                       .throttle = on_throttle,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -111,10 +111,11 @@
   guint deadly_starts[SIM_DEADLY_MAX];  /**< by index of the deadly task */
   guint beside_suspect;                 /**< starts on a worker that holds such a task */
   gint64 crash_after_ms;                /**< from the start of a deadly task to the crash */
-  gint64 run_ms;    /**< tasks that are not deadly end as done after this; 0: never */
-  guint no_ticket;  /**< starts that were refused for lack of a ticket */
-  guint attempts;   /**< failed runs of a task that end its job */
-  GPtrArray *calls; /**< of struct sim_call */
+  gint64 run_ms;      /**< tasks that are not deadly end as done after this; 0: never */
+  guint no_ticket;    /**< starts that were refused for lack of a ticket */
+  guint attempts;     /**< failed runs of a task that end its job */
+  GPtrArray *calls;   /**< of struct sim_call */
+  guint start_credit; /**< starts that each dispatch may send */
   guint start_calls;
   guint over_capacity;  /**< starts that brought a worker over its capacity */
   guint refused_starts; /**< starts that a worker refused for lack of capacity */
