--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -9,6 +9,7 @@
 #define POOL_CAPACITY 1024
 #define POOL_IDLE_MS 10000      /* an unused connection is closed after this time */
 #define POOL_FREE_DELAY_MS 1000 /* libuv closes the pool's timer within this time */
+#define RESPONSE_MAX_MS 60000   /* a response that goes on for longer is given up */
 #define HEAD_BYTES_MAX 8192     /* limit of the request line and the header fields */
 
 /* Pooled connections to one address. */
@@ -37,6 +38,8 @@
   struct pool *pool;
   h2o_http1client_t *call;
   struct iv_deadline deadline;
+  gint64 stall_ms;
+  gint64 latest_ms; /* the deadline does not move beyond this */
   h2o_iovec_t buffers[2];
   GString *head;
   GByteArray *body;
@@ -115,6 +118,16 @@
           TRUE);
 }
 
+/* A part of the response has arrived. */
+static void
+note_progress (struct exchange *exchange)
+{
+  gint64 at_ms = (gint64)uv_now (exchange->client->loop) + exchange->stall_ms;
+  if (exchange->stall_ms > 0 && at_ms > exchange->deadline.at_ms)
+    iv_deadline_set (exchange->client->deadlines, &exchange->deadline,
+                     MIN (at_ms, exchange->latest_ms));
+}
+
 static int
 on_body (h2o_http1client_t *call, const char *error)
 {
@@ -122,6 +135,7 @@
   h2o_buffer_t *input = call->sock->input;
   g_byte_array_append (exchange->response_body, (const guint8 *)input->bytes, (guint)input->size);
   h2o_buffer_consume (&call->sock->input, input->size);
+  note_progress (exchange);
   if (error == NULL && exchange->response_body->len <= exchange->client->response_bytes_max)
     return 0;
   if (error == NULL)
@@ -187,7 +201,10 @@
   exchange->chunked = has_header (headers, count, H2O_TOKEN_TRANSFER_ENCODING);
   exchange->length_known = length_is_known (headers, count) || status == 204 || status == 304;
   if (error == NULL)
-    return on_body;
+    {
+      note_progress (exchange);
+      return on_body;
+    }
   exchange->call = NULL;
   if (exchange->length_known)
     finish (exchange, IV_HTTP_COMPLETE, "", FALSE);
@@ -299,6 +316,8 @@
     }
   exchange->deadline.fire = on_deadline;
   iv_deadline_set (client->deadlines, &exchange->deadline, call->deadline_ms);
+  exchange->stall_ms = call->stall_ms;
+  exchange->latest_ms = MAX (call->deadline_ms, (gint64)uv_now (client->loop) + RESPONSE_MAX_MS);
   if (call->new_connection)
     {
       h2o_http1client_connect (&exchange->call, exchange, &client->context,
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -40,7 +40,10 @@
   const struct iv_http_header *headers; /**< ends with a NULL name; may be NULL */
   const void *body;
   gsize body_len;
-  gint64 deadline_ms;      /**< uv_now() time */
+  gint64 deadline_ms; /**< uv_now() time */
+  /** A response that has begun may take longer, as long as its next part follows within this time;
+   *  0: it may not. For responses so large that a thin link takes seconds to carry them. */
+  gint64 stall_ms;
   gboolean new_connection; /**< do not use a pooled connection */
 };
 
--- a/edge/tests/http_test.c
+++ b/edge/tests/http_test.c
@@ -5,6 +5,7 @@
  */
 #include <errno.h>
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdlib.h>
@@ -28,6 +29,8 @@
   struct iv_http_request *pending_request;
   uv_tcp_t raw;
   const char *raw_response;
+  gint64 raw_pause_ms; /* between the bytes of the body; 0: all is sent at once */
+  gint64 stall_ms;     /* of the next calls */
   char raw_address[32];
   enum iv_http_result result;
   int status;
@@ -68,13 +71,59 @@
   free (write);
 }
 
+/* Sends the body of the raw response byte by byte. */
+struct dribble
+{
+  uv_timer_t timer;
+  uv_stream_t *stream;
+  const char *next;
+};
+
+static void
+on_dribble_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static void
+on_dribble (uv_timer_t *timer)
+{
+  struct dribble *dribble = timer->data;
+  uv_buf_t out = uv_buf_init ((char *)dribble->next, 1);
+  if (*dribble->next && uv_try_write (dribble->stream, &out, 1) == 1)
+    {
+      dribble->next++;
+      return;
+    }
+  uv_close ((uv_handle_t *)dribble->stream, (uv_close_cb)free);
+  uv_close ((uv_handle_t *)timer, on_dribble_closed);
+}
+
+static void
+start_dribble (uv_stream_t *stream)
+{
+  struct dribble *dribble = calloc (1, sizeof *dribble);
+  const char *body = strstr (fixture.raw_response, "\r\n\r\n") + 4;
+  uv_buf_t head
+      = uv_buf_init ((char *)fixture.raw_response, (unsigned)(body - fixture.raw_response));
+  dribble->stream = stream;
+  dribble->next = body;
+  dribble->timer.data = dribble;
+  uv_timer_init (stream->loop, &dribble->timer);
+  uv_timer_start (&dribble->timer, on_dribble, (uint64_t)fixture.raw_pause_ms,
+                  (uint64_t)fixture.raw_pause_ms);
+  assert_int_equal (uv_try_write (stream, &head, 1), head.len);
+}
+
 static void
 on_raw_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
   uv_buf_t out
       = uv_buf_init ((char *)fixture.raw_response, (unsigned)strlen (fixture.raw_response));
   uv_read_stop (stream);
-  if (count > 0)
+  if (count > 0 && fixture.raw_pause_ms > 0)
+    start_dribble (stream);
+  else if (count > 0)
     uv_write (malloc (sizeof (uv_write_t)), stream, &out, 1, on_raw_written);
   else
     uv_close ((uv_handle_t *)stream, (uv_close_cb)free);
@@ -112,6 +161,7 @@
 {
   struct iv_http_limits limits = { 1000, 1, 100, 400 };
   struct fixture *f = &fixture;
+  signal (SIGPIPE, SIG_IGN); /* the client closes connections that the test still writes to */
   f->loop = uv_default_loop ();
   f->deadlines = iv_deadlines_new (f->loop);
   f->client = iv_http_client_new (f->loop, f->deadlines, 300, 5000);
@@ -145,6 +195,7 @@
                                .path = path,
                                .body = body,
                                .body_len = strlen (body),
+                               .stall_ms = f->stall_ms,
                                .new_connection = new_connection };
   uv_update_time (f->loop);
   call.deadline_ms = (gint64)uv_now (f->loop) + wait_ms;
@@ -216,6 +267,32 @@
   assert_string_equal (f->body, "again");
 }
 
+/* Thin link, store of a large state: guards against a response that never comes whole, because the
+   link takes longer to carry it than the deadline permits, and against one that stalls for ever. */
+static void
+test_response_that_goes_on_outlives_its_deadline (void **state)
+{
+  static const struct
+  {
+    gint64 pause_ms;
+    gint64 stall_ms;
+    enum iv_http_result result;
+  } rows[] = { { 40, 200, IV_HTTP_COMPLETE },
+               { 40, 0, IV_HTTP_INCOMPLETE },
+               { 250, 120, IV_HTTP_INCOMPLETE } };
+  struct fixture *f = &fixture;
+  f->raw_response = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789";
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      f->raw_pause_ms = rows[i].pause_ms;
+      f->stall_ms = rows[i].stall_ms;
+      call (f, f->raw_address, "/x", "", 150, TRUE);
+      assert_int_equal (f->result, rows[i].result);
+      assert_int_equal (f->timed_out, rows[i].result != IV_HTTP_COMPLETE);
+    }
+  f->raw_pause_ms = f->stall_ms = 0;
+}
+
 static void
 test_not_sent (void **state)
 {
@@ -337,14 +414,16 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_complete_responses),
-                                      cmocka_unit_test (test_too_large_body),
-                                      cmocka_unit_test (test_too_many_requests),
-                                      cmocka_unit_test (test_deadline_and_late_response),
-                                      cmocka_unit_test (test_not_sent),
-                                      cmocka_unit_test (test_incomplete_responses),
-                                      cmocka_unit_test (test_dropped_connections),
-                                      cmocka_unit_test (test_bad_input),
-                                      cmocka_unit_test (test_query) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_complete_responses),
+          cmocka_unit_test (test_too_large_body),
+          cmocka_unit_test (test_too_many_requests),
+          cmocka_unit_test (test_deadline_and_late_response),
+          cmocka_unit_test (test_response_that_goes_on_outlives_its_deadline),
+          cmocka_unit_test (test_not_sent),
+          cmocka_unit_test (test_incomplete_responses),
+          cmocka_unit_test (test_dropped_connections),
+          cmocka_unit_test (test_bad_input),
+          cmocka_unit_test (test_query) };
   return cmocka_run_group_tests (tests, setup_all, NULL);
 }
