Move no job whose ends only workers have told

Cause: a job counted as begun by what this owner started or a record said. A new owner that learnt of ends from the workers' lists moved the job to another cell, as nothing of it had started there, before the record of those ends was stored; the tasks ran again.

--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -243,6 +243,7 @@
 void
 iv_job_exec_running (struct iv_job_exec *exec)
 {
+  exec->started = TRUE;
   if (exec->job->live_state != IVJ_QUEUED)
     return;
   exec->job->live_state = IVJ_RUNNING;
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -63,16 +63,16 @@
 struct iv_job_exec
 {
   struct iv_job_entry *job;
-  struct iv_owner *owner;   /**< of the cell that runs the job; a host may own several cells */
-  GPtrArray *open;          /**< of struct iv_occurrence, by ascending number */
-  guint opened;             /**< occurrences opened so far */
-  gboolean needs_record;    /**< progress has changed since it was last recorded */
-  gboolean started;         /**< a task of it may have started: a start was sent */
-  gboolean inherited;       /**< a previous owner may have started tasks of it */
-  gboolean has_crashes;     /**< a task of it was suspected of a crash */
-  gboolean hopeless;        /**< a task of it is to blame for crashes */
-  guint64 crash_batch;      /**< collection that records the newest crash; suspects wait for it */
-  guint placed;             /**< tasks that run or may run */
+  struct iv_owner *owner; /**< of the cell that runs the job; a host may own several cells */
+  GPtrArray *open;        /**< of struct iv_occurrence, by ascending number */
+  guint opened;           /**< occurrences opened so far */
+  gboolean needs_record;  /**< progress has changed since it was last recorded */
+  gboolean started;       /**< a task of it may have started: a start was sent, or a worker told */
+  gboolean inherited;     /**< a previous owner may have started tasks of it */
+  gboolean has_crashes;   /**< a task of it was suspected of a crash */
+  gboolean hopeless;      /**< a task of it is to blame for crashes */
+  guint64 crash_batch;    /**< collection that records the newest crash; suspects wait for it */
+  guint placed;           /**< tasks that run or may run */
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
   gint64 unholdable_ms;     /**< when no worker could last hold one of its long-running tasks */
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -29,6 +29,27 @@
   sim_free (sim);
 }
 
+/* Cells that change owners and jobs: guards against a task that runs again in the cell that a job
+   was moved to, which knows nothing yet of the end that only a worker of this cell has told. */
+static void
+test_job_whose_ends_are_learnt_from_workers_stays (void **state)
+{
+  struct sim *sim = sim_new (1);
+  sim->store_records = FALSE;
+  sim_start_owner (sim);
+  sim_make_job (4, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 100);
+  assert_int_equal (sim->start_calls, 2);
+  sim_end_all_runs (sim, IV_END_DONE);
+  sim_start_owner (sim);
+  sim->domain_a_out = TRUE; /* the others of its tasks have no worker */
+  sim->other_cell_milli = 100000;
+  sim_advance (sim, 2000);
+  assert_int_equal (sim->move_calls, 0);
+  sim_free (sim);
+}
+
 /* When long-running jobs fill one cell, batch jobs in it wait half a second to be moved. A new
    long-running job must therefore be moved to a cell with more free capacity before it starts. */
 static void
@@ -318,6 +339,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_unplaceable_job_is_moved),
+    cmocka_unit_test (test_job_whose_ends_are_learnt_from_workers_stays),
     cmocka_unit_test (test_long_running_jobs_are_balanced_across_cells),
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
     cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
