--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -2,9 +2,11 @@
 
 #include "clock.h"
 #include "event.h"
+#include "response_time.h"
 
 /* Beyond the wait of the read; a slow store responds within a few hundred ms. */
 #define READ_TIMEOUT_MARGIN_MS 1500
+#define PROBE_TIMEOUT_MIN_MS 300 /* of a read that finds out whether the store is back */
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 800
 
@@ -37,6 +39,8 @@
   gint64 sent_boot_ms;
   gint64 caught_up_boot_ms;
   gint64 retry_delay_ms;
+  struct iv_response_time response_time; /* of reads without a wait */
+  gint64 wait_ms;                        /* of the read in progress */
 };
 
 static void start_read (void *context);
@@ -97,6 +101,7 @@
     iv_event (IV_LEVEL_WARNING, "store.lost", "topic=%s outcome=%s", stream->topic,
               iv_store_outcome_name (outcome));
   stream->store_unreachable = TRUE;
+  iv_response_time_lapse (&stream->response_time);
   g_array_append_vals (stream->queued_barriers, stream->pending_barriers->data,
                        stream->pending_barriers->len);
   g_array_set_size (stream->pending_barriers, 0);
@@ -112,6 +117,8 @@
               stream->position);
   stream->store_unreachable = FALSE;
   stream->retry_delay_ms = 0;
+  if (stream->wait_ms == 0)
+    iv_response_time_add (&stream->response_time, now_ms (stream) - stream->sent_ms);
 }
 
 /* A known key that the load did not find was deleted meanwhile. */
@@ -223,31 +230,40 @@
       stream, more_to_read || stream->queued_barriers->len > 0 ? 0 : stream->options.read_delay_ms);
 }
 
+/* Limit of a read that does not wait for records. */
+static gint64
+read_timeout_ms (const struct iv_stream *stream)
+{
+  return stream->store_unreachable ? iv_response_time_probe_ms (
+             &stream->response_time, PROBE_TIMEOUT_MIN_MS, READ_TIMEOUT_MARGIN_MS)
+                                   : READ_TIMEOUT_MARGIN_MS;
+}
+
 static void
 start_read (void *context)
 {
   struct iv_stream *stream = context;
   gboolean barrier_queued = stream->queued_barriers->len > 0;
   GArray *empty = stream->pending_barriers;
-  gint64 wait_ms;
   if (stream->reading || stream->closed)
     return;
   stream->reading = TRUE;
   stream->sent_ms = now_ms (stream);
   stream->sent_boot_ms = iv_clock_boot_ms ();
+  stream->wait_ms = 0;
   if (!stream->loaded)
     {
       if (stream->loaded_keys == NULL)
         stream->loaded_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       iv_store_newest (stream->store, stream->topic, stream->page_after_key,
-                       stream->sent_ms + READ_TIMEOUT_MARGIN_MS, on_newest, stream);
+                       stream->sent_ms + read_timeout_ms (stream), on_newest, stream);
       return;
     }
   stream->pending_barriers = stream->queued_barriers;
   stream->queued_barriers = empty;
-  wait_ms = barrier_queued ? 0 : stream->options.wait_ms;
-  iv_store_read (stream->store, stream->topic, stream->position, wait_ms,
-                 stream->sent_ms + wait_ms + READ_TIMEOUT_MARGIN_MS, on_changes, stream);
+  stream->wait_ms = barrier_queued || stream->store_unreachable ? 0 : stream->options.wait_ms;
+  iv_store_read (stream->store, stream->topic, stream->position, stream->wait_ms,
+                 stream->sent_ms + stream->wait_ms + read_timeout_ms (stream), on_changes, stream);
 }
 
 struct iv_stream *
--- a/edge/call_limits.c
+++ b/edge/call_limits.c
@@ -2,8 +2,8 @@
 
 #include "response_time.h"
 
-/* The window follows the delay that calls add to the link's queue, as in LEDBAT (RFC 6817): it grows
-   by at most one call in the time of a response, and shrinks by at most half. */
+/* The window follows the delay that calls add to the link's queue, as in LEDBAT (RFC 6817): it
+   grows by at most one call in the time of a response, and shrinks by at most half. */
 #define TARGET_DELAY_MS 100 /* the largest target that RFC 6817 permits */
 #define WINDOW_FIRST 32
 #define WINDOW_MIN 2
@@ -22,7 +22,8 @@
   GHashTable *peers; /* from name to struct peer */
   double window;
   guint in_progress;
-  gint64 delays_ms[DELAYS_KEPT]; /* what the newest responses took beyond the least of their peers */
+  gint64
+      delays_ms[DELAYS_KEPT]; /* what the newest responses took beyond the least of their peers */
   guint next_delay;
   gint64 cut_ms;    /* the window was halved last */
   gint64 prompt_ms; /* newest response that was hardly delayed */
--- a/edge/response_time.c
+++ b/edge/response_time.c
@@ -31,10 +31,24 @@
   time->lapses = MIN (time->lapses + 1, LAPSES_MAX);
 }
 
+static gint64
+least_limit_ms (const struct iv_response_time *time, gint64 min_ms)
+{
+  return MAX ((gint64)(time->smoothed_ms + DEVIATIONS * time->deviation_ms), min_ms);
+}
+
 gint64
 iv_response_time_limit_ms (const struct iv_response_time *time, gint64 min_ms, gint64 max_ms)
 {
-  gint64 limit_ms = (gint64)(time->smoothed_ms + DEVIATIONS * time->deviation_ms);
-  limit_ms = MAX (limit_ms, min_ms) << time->lapses;
-  return MIN (limit_ms, max_ms);
+  return MIN (least_limit_ms (time, min_ms) << time->lapses, max_ms);
+}
+
+gint64
+iv_response_time_probe_ms (const struct iv_response_time *time, gint64 min_ms, gint64 max_ms)
+{
+  gint64 least_ms = least_limit_ms (time, min_ms);
+  guint steps = 1;
+  while (least_ms << (steps - 1) < max_ms)
+    steps++;
+  return MIN (least_ms << (time->lapses % steps), max_ms);
 }
--- a/edge/response_time.h
+++ b/edge/response_time.h
@@ -28,4 +28,10 @@
 gint64 iv_response_time_limit_ms (const struct iv_response_time *time, gint64 min_ms,
                                   gint64 max_ms);
 
+/** The same for a call that finds out whether the peer responds again. The limit grows from the
+ *  least to @a max_ms and then starts over: a long limit tells a slow peer from a silent one, and a
+ *  short one notices early that a silent one is back. */
+gint64 iv_response_time_probe_ms (const struct iv_response_time *time, gint64 min_ms,
+                                  gint64 max_ms);
+
 #endif
--- a/edge/tests/call_limits_test.c
+++ b/edge/tests/call_limits_test.c
@@ -134,7 +134,8 @@
   iv_call_limits_free (link.limits);
 }
 
-/* Lost zone: a fifth of the peers is silent. Guards against a host that calls the sound ones less. */
+/* Lost zone: a fifth of the peers is silent. Guards against a host that calls the sound ones less.
+ */
 static void
 test_silent_peers_do_not_shrink_the_window (void **state)
 {
--- a/edge/tests/response_time_test.c
+++ b/edge/tests/response_time_test.c
@@ -56,12 +56,31 @@
   assert_int_equal (limit_ms (&time), MIN_MS);
 }
 
+/* Store away: guards against a host that notices seconds late that the store is back, and against
+   one that never waits long enough for a store that has become slow. */
+static void
+test_probes_are_short_and_long_in_turn (void **state)
+{
+  static const gint64 expected[] = { 300, 600, 1200, 1500, 300, 600, 1200, 1500, 300 };
+  struct iv_response_time time = { 0 };
+  iv_response_time_add (&time, 5);
+  for (guint i = 0; i < G_N_ELEMENTS (expected); i++)
+    {
+      assert_int_equal (iv_response_time_probe_ms (&time, MIN_MS, 1500), expected[i]);
+      iv_response_time_lapse (&time);
+    }
+  for (guint i = 0; i < 50; i++)
+    iv_response_time_add (&time, 3000);
+  assert_int_equal (iv_response_time_probe_ms (&time, MIN_MS, 1500), 1500);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_limit_is_the_least_while_responses_are_prompt),
     cmocka_unit_test (test_limit_exceeds_steady_responses),
+    cmocka_unit_test (test_probes_are_short_and_long_in_turn),
     cmocka_unit_test (test_lapses_double_the_limit_until_a_response),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
