Evacuate no job that needs more workers than a cell has

It was evacuated from cell to cell every 11 s, all its tasks stopped each time, and never whole. It stays now, with the tasks that have workers.

--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -91,6 +91,20 @@
   return TRUE;
 }
 
+/* Whether a step of the job has to be on more workers than the cell has. Cells are of about the same
+   size, so no other one holds the job either. */
+static gboolean
+exceeds_cells (const struct iv_owner *owner, const struct iv_job_exec *exec)
+{
+  const ivj_job *spec = &exec->job->spec;
+  guint64 workers = g_hash_table_size (owner->fleet->by_id);
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    if (spec->steps.steps_val[i].per_worker_max > 0
+        && spec->steps.steps_val[i].per_worker_max * workers < spec->steps.steps_val[i].count)
+      return TRUE;
+  return FALSE;
+}
+
 /* Whether tasks of a long-running job have waited too long for workers, or will when theirs have
    left. */
 static gboolean
@@ -99,7 +113,7 @@
   gboolean unholdable
       = exec->unholdable_ms > 0 && now_ms <= exec->unholdable_ms + UNHOLDABLE_MAX_AGE_MS;
   if ((are_all_placed (exec) && !unholdable) || !owner->previous_runs_known
-      || !may_be_evacuated (exec))
+      || !may_be_evacuated (exec) || exceeds_cells (owner, exec))
     {
       exec->unplaced_since_ms = 0;
       return FALSE;
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -119,6 +119,29 @@
   sim_free (sim);
 }
 
+/* Small cells: guards against a job that is stopped, and moved from cell to cell, without end, since
+   it needs more workers than any of them has. */
+static void
+test_job_that_exceeds_cells_stays (void **state)
+{
+  for (guint workers = 2; workers <= 4; workers += 2)
+    {
+      struct sim *sim = sim_new (workers);
+      sim_start_owner (sim);
+      sim_make_job (4, 0);
+      sim_steps[0].flags = IVJ_LONG_RUNNING;
+      sim_steps[0].per_worker_max = 1;
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 200);
+      sim->other_cell_milli = 100000;
+      sim->workers[0].refuses_starts = TRUE;
+      sim_restart_worker (sim, 0);
+      sim_advance (sim, 4000);
+      assert_int_equal (sim->move_calls, workers == 4);
+      sim_free (sim);
+    }
+}
+
 /* Guards against a job that no worker can hold and that stays, as it permits few of its tasks to be
    away, although all of them are. */
 static void
@@ -343,6 +366,7 @@
     cmocka_unit_test (test_long_running_jobs_are_balanced_across_cells),
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
     cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
+    cmocka_unit_test (test_job_that_exceeds_cells_stays),
     cmocka_unit_test (test_job_that_is_down_is_evacuated),
     cmocka_unit_test (test_job_on_a_draining_worker_is_evacuated),
     cmocka_unit_test (test_large_tasks_are_not_evacuated_into_small_pieces),
