Revert: keep a batch job's tasks in one failure domain

Hypothesis: a job of 39 tasks is late whichever domain is cut, since it has tasks in all; kept in one domain by rendezvous hashing, four in five would not notice. Not kept: jobs that one domain holds up wait longer for it, and the windows after the cut do not change.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -1,7 +1,6 @@
 #include "owner_private.h"
 
 #include "advice.h"
-#include "affinity.h"
 #include "crash.h"
 #include "event.h"
 #include "histogram.h"
@@ -325,9 +324,6 @@
           .stage = stage,
           .occurrence = occurrence,
           .service = policy->service,
-          .home_domain = stage->step->flags & IVJ_LONG_RUNNING
-                             ? NULL
-                             : iv_affinity_domain (owner->domains, exec->job->id),
           .workload = iv_sharing_workload (owner, stage->step),
           .advised = policy->advised,
           .checks_capacity = policy->checks_capacity,
@@ -391,24 +387,6 @@
     }
 }
 
-static void
-find_domains (struct iv_owner *owner)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_ptr_array_set_size (owner->domains, 0);
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct iv_fleet_worker *worker = value;
-      const char *domain = g_intern_string (worker->domain);
-      if (worker->listed && !worker->draining && worker->failures == 0
-          && !g_ptr_array_find (owner->domains, domain, NULL)
-          && owner->effects.is_domain_in_service (owner->effects.context, domain))
-        g_ptr_array_add (owner->domains, (gpointer)domain);
-    }
-}
-
 void
 iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms)
 {
@@ -416,7 +394,6 @@
   if (!owner->needs_dispatch && now_ms < owner->next_dispatch_ms)
     return;
   owner->needs_dispatch = FALSE;
-  find_domains (owner);
   owner->start_credit = owner->effects.start_credit (owner->effects.context);
   candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   for (guint i = 0; i < owner->execs->len; i++)
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -91,8 +91,8 @@
   return TRUE;
 }
 
-/* Whether a step of the job has to be on more workers than the cell has. Cells are of about the same
-   size, so no other one holds the job either. */
+/* Whether a step of the job has to be on more workers than the cell has. Cells are of about the
+   same size, so no other one holds the job either. */
 static gboolean
 exceeds_cells (const struct iv_owner *owner, const struct iv_job_exec *exec)
 {
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -48,7 +48,6 @@
   owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->execs = g_ptr_array_new ();
   owner->unrecorded = g_ptr_array_new ();
-  owner->domains = g_ptr_array_new ();
   owner->departures = g_array_new (FALSE, FALSE, sizeof (struct iv_departure));
   owner->wall_ms = wall_ms;
   owner->loading_jobs = TRUE;
@@ -84,7 +83,6 @@
     iv_job_exec_free (g_ptr_array_remove_index_fast (owner->execs, 0));
   g_ptr_array_free (owner->execs, TRUE);
   g_ptr_array_free (owner->unrecorded, TRUE);
-  g_ptr_array_free (owner->domains, TRUE);
   g_array_free (owner->departures, TRUE);
   g_free (owner);
 }
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -65,7 +65,6 @@
   gboolean loading_jobs;          /**< the jobs of a previous owner are being taken over */
   gboolean needs_dispatch;        /**< capacity was freed, or tasks or workers were added */
   gint64 next_dispatch_ms;        /**< dispatch then even if nothing changed */
-  GPtrArray *domains;             /**< of interned strings: failure domains with usable workers */
   guint start_credit;             /**< starts that may still be sent in this dispatch */
   gint64 next_moves_ms;           /**< when to look for jobs to move next */
   gint64 mean_long_running_milli; /**< mean size of long-running tasks, cores in thousandths */
@@ -204,7 +203,6 @@
   guint occurrence;
   const char *service;
   const char *rack;         /**< the only rack allowed; NULL: any */
-  const char *home_domain;  /**< that its tasks are kept together in; NULL: none */
   guint32 workload;         /**< image of the stage in the interference model */
   gboolean advised;         /**< only workers with a ticket */
   gboolean checks_capacity; /**< see struct iv_queue_policy */
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -12,10 +12,6 @@
 #define SCORE_AVOID (-500000) /* the worker on which the task failed last */
 #define SCORE_SAME_IMAGE 10000
 #define SCORE_OTHER_IMAGE (-60000)
-/* In the failure domain of the job: as much as a whole worker, but no more than a tail that is a
-   quarter of its target higher. */
-#define SCORE_HOME 64000
-#define SCORE_HOME_BEST_EFFORT 30000
 #define SCORE_TAIL (-120000) /* for a tail latency at its target */
 #define TAIL_SCORE_CAP 10.0  /* multiple of a target beyond which all score the same */
 #define TAIL_MAX 0.70        /* share of a target beyond which no best-effort task is added */
@@ -262,12 +258,6 @@
   return points;
 }
 
-static gint64
-home_score (const ivj_step *step)
-{
-  return step->flags & IVJ_BEST_EFFORT ? SCORE_HOME_BEST_EFFORT : SCORE_HOME;
-}
-
 static gint64
 score (const struct iv_fleet_worker *worker, const struct iv_placement_query *query,
        const struct iv_job_task *task)
@@ -282,8 +272,6 @@
     value = worker->used.cpu_milli - worker->capacity.cpu_milli;
   if (*step->data_rack && strcmp (step->data_rack, worker->rack) == 0)
     value += SCORE_DATA_LOCAL;
-  if (query->home_domain && strcmp (query->home_domain, worker->domain) == 0)
-    value += home_score (step);
   if (task->avoid_worker == worker->handle)
     value += SCORE_AVOID;
   if (task->crashes > 0)
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -119,8 +119,8 @@
   sim_free (sim);
 }
 
-/* Small cells: guards against a job that is stopped, and moved from cell to cell, without end, since
-   it needs more workers than any of them has. */
+/* Small cells: guards against a job that is stopped, and moved from cell to cell, without end,
+   since it needs more workers than any of them has. */
 static void
 test_job_that_exceeds_cells_stays (void **state)
 {
