Tell callers the state as recorded, not as last read

Cause: hosts that own no cell read the jobs every half second, and most callers ask such a host. A host asked for a job that has not ended reads on first, if its last read is older than 50 ms; requests share a read. After 300 ms, or while the store is away, it tells what it read last.

Gauges ibisvane_cells_suspended and ibisvane_start_window.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -645,6 +645,12 @@
   return task->owner != NULL;
 }
 
+gboolean
+iv_cell_task_is_suspended (const struct iv_cell_task *task)
+{
+  return task->suspended_since_ms > 0;
+}
+
 gint64
 iv_cell_task_owned_ms (const struct iv_cell_task *task)
 {
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -69,6 +69,9 @@
 /** Whether this host owns the cell. */
 gboolean iv_cell_task_owns (const struct iv_cell_task *task);
 
+/** Whether this host owns the cell, and its owner may not act until the store confirms it again. */
+gboolean iv_cell_task_is_suspended (const struct iv_cell_task *task);
+
 /** How long this host has owned the cell, in ms; 0 when it does not. */
 gint64 iv_cell_task_owned_ms (const struct iv_cell_task *task);
 
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -57,6 +57,7 @@
   struct iv_recorder *recorder;
   struct iv_membership *membership;
   struct iv_layout_task *layout;
+  struct iv_call_limits *worker_limits; /* of the calls to workers */
   struct iv_cell_task *cells[IV_CELLS_MAX];
   struct cell_load loads[IV_CELLS_MAX];
   gboolean listing_members; /* a request for the members, for rebalance_cells(), is pending */
@@ -444,7 +445,8 @@
                                     .is_domain_in_service = is_domain_in_service,
                                     .is_idle = is_idle,
                                     .find_move_target = find_move_target };
-  deps.worker_limits = iv_call_limits_new ();
+  app->worker_limits = iv_call_limits_new ();
+  deps.worker_limits = app->worker_limits;
   deps.workers = iv_http_client_new (app->loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 4 * MIB);
   for (guint i = 0; i < IV_CELLS_MAX; i++)
     app->cells[i] = iv_cell_task_new (&deps, i);
@@ -531,9 +533,16 @@
 {
   struct iv_fleet_app *app = context;
   gint64 owned = 0;
+  gint64 suspended = 0;
   for (guint i = 0; i < IV_CELLS_MAX; i++)
-    owned += iv_cell_task_owns (app->cells[i]);
+    {
+      owned += iv_cell_task_owns (app->cells[i]);
+      suspended += iv_cell_task_is_suspended (app->cells[i]);
+    }
   set_gauge ("ibisvane_cells_owned", "Cells owned by this host.", owned);
+  set_gauge ("ibisvane_cells_suspended", "Owned cells whose owner may not act.", suspended);
+  set_gauge ("ibisvane_start_window", "Starts that may be in progress at the same time.",
+             iv_call_limits_window (app->worker_limits));
   set_gauge ("ibisvane_jobs_known", "Jobs in the job table.", iv_job_table_size (app->job_table));
   set_gauge ("ibisvane_requests_pending", "Requests not answered yet.",
              iv_front_task_pending (app->front));
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -12,6 +12,10 @@
 #define RESPONSE_MARGIN_MS 150 /* for the response to reach the caller */
 #define RETRY_STORE_S "1"      /* outages of the store last seconds */
 #define RETRY_CAPACITY_S "5"   /* capacity is freed when long-running jobs are cancelled */
+/* Hosts that own no cell read the jobs only now and then: a state older than this is read again
+   before a caller is told... */
+#define STATE_MAX_AGE_MS 50
+#define STATE_WAIT_MS 300 /* ...unless that takes longer */
 #define BODY_BYTES_MAX (512 * 1024)
 
 struct iv_front_task
@@ -33,6 +37,7 @@
   struct iv_deadline deadline;
   char id[IV_JOB_ID_LEN + 1];
   gboolean cancel;
+  gboolean shows_state; /* at the deadline, the state last read is told */
   gint64 since_ms;
   GPtrArray *duplicates; /* of struct store_wait: submissions of the same job since; NULL: none */
 };
@@ -63,13 +68,26 @@
   reject_with_retry (request, status, id, reason, status == 503 ? RETRY_STORE_S : NULL);
 }
 
+static void
+respond_state (struct iv_http_request *request, const struct iv_job_entry *job)
+{
+  char *json = iv_wire_encode_state (iv_job_state (job));
+  respond (request, 200, json);
+  g_free (json);
+}
+
 static void
 on_deadline (void *context)
 {
   struct store_wait *store_wait = context;
   struct iv_http_request *request = store_wait->request;
+  const struct iv_job_entry *job
+      = iv_job_table_find (store_wait->task->deps.job_table, store_wait->id);
   store_wait->request = NULL;
-  reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
+  if (store_wait->shows_state && job)
+    respond_state (request, job);
+  else
+    reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
 }
 
 static gint64
@@ -213,14 +231,6 @@
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
 }
 
-static void
-respond_state (struct iv_http_request *request, const struct iv_job_entry *job)
-{
-  char *json = iv_wire_encode_state (iv_job_state (job));
-  respond (request, 200, json);
-  g_free (json);
-}
-
 static void
 cancel (struct iv_front_task *task, struct iv_http_request *request, const struct iv_job_entry *job)
 {
@@ -266,15 +276,43 @@
   store_wait_free (store_wait);
 }
 
+/* Whether the state of @a job, as last read, may have changed since, and can be read again. */
+static gboolean
+is_state_old (const struct iv_front_task *task, const struct iv_job_entry *job)
+{
+  return !iv_job_state_is_final (iv_job_state (job))
+         && iv_stream_age_ms (task->deps.jobs) > STATE_MAX_AGE_MS
+         && !iv_stream_is_unreachable (task->deps.jobs);
+}
+
+static void
+show_state (struct iv_front_task *task, struct iv_http_request *request,
+            const struct iv_job_entry *job)
+{
+  struct store_wait *store_wait;
+  if (!is_state_old (task, job))
+    {
+      respond_state (request, job);
+      return;
+    }
+  store_wait = store_wait_new (task, request, job->id);
+  store_wait->shows_state = TRUE;
+  iv_deadline_set (task->deps.deadlines, &store_wait->deadline,
+                   MIN (store_wait->deadline.at_ms, store_wait->since_ms + STATE_WAIT_MS));
+  iv_stream_barrier (task->deps.jobs, on_caught_up, store_wait);
+}
+
 /* Only a read sent after the request can prove that the job does not exist. */
 static void
 look_up (struct iv_front_task *task, struct iv_http_request *request, const char *id)
 {
   struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, id);
-  if (job)
-    serve_known (task, request, job);
-  else
+  if (job == NULL)
     iv_stream_barrier (task->deps.jobs, on_caught_up, store_wait_new (task, request, id));
+  else if (strcmp (iv_http_method (request), "GET") == 0)
+    show_state (task, request, job);
+  else
+    cancel (task, request, job);
 }
 
 static void
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -314,6 +314,12 @@
   return iv_clock_boot_ms () - stream->caught_up_boot_ms;
 }
 
+gboolean
+iv_stream_is_unreachable (const struct iv_stream *stream)
+{
+  return stream->store_unreachable;
+}
+
 void
 iv_stream_set_read_delay (struct iv_stream *stream, gint64 read_delay_ms)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -44,6 +44,9 @@
  *  records stored before that are applied. */
 gint64 iv_stream_age_ms (const struct iv_stream *stream);
 
+/** Whether the last read failed. */
+gboolean iv_stream_is_unreachable (const struct iv_stream *stream);
+
 /** Change the delay between two reads. */
 void iv_stream_set_read_delay (struct iv_stream *stream, gint64 read_delay_ms);
 
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -2,7 +2,9 @@
    same event loop. The tests build on each other. */
 #include "fleet_app.h"
 #include "http_client.h"
+#include "job_table.h"
 #include "loopback_port.h"
+#include "store.h"
 #include "store_standin.h"
 #include "worker_standin.h"
 
@@ -15,6 +17,7 @@
 #include <cmocka.h>
 
 #define TIMEOUT_MS 10000 /* of a test that does not progress; no test waits for it to pass */
+#define STATE_AGE_MS 100 /* a state of this age may have changed */
 #define JOB_PATH "/q/00000000000000aa"
 
 static uv_loop_t *loop;
@@ -281,11 +284,40 @@
   struct result result = send_request ("GET", metrics_address, "/metrics", NULL);
   assert_int_equal (result.status, 200);
   assert_non_null (strstr (result.body, "ibisvane_cells_owned 1\n"));
+  assert_non_null (strstr (result.body, "ibisvane_cells_suspended 0\n"));
+  assert_non_null (strstr (result.body, "ibisvane_start_window "));
   assert_non_null (strstr (result.body, "ibisvane_config_version 1\n"));
   assert_non_null (strstr (result.body, "ibisvane_events_total{event=\"job.accepted\"}"));
   assert_non_null (strstr (result.body, "ibisvane_first_start_ms_count"));
 }
 
+/* Another host owns the cell and records that a job has ended. Guards against a caller that is told
+   so half a second late, when this host reads the records the next time. */
+static void
+test_state_recorded_by_another_owner_is_told_at_once (void **state)
+{
+  static const char path[] = "/q/00000000000000ee";
+  ivj_progress ended = { .state = IVJ_COMPLETED };
+  GByteArray *progress = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
+  GByteArray *record = g_byte_array_new ();
+  worker->run_ms = 1000000;
+  assert_int_equal (send_request ("POST", callers_address, path,
+                                  "{\"Steps\":[{\"Count\":1,\"Cpu\":1,\"MemMb\":1}]}")
+                        .status,
+                    200);
+  poll_until (callers_address, path, "running", 200);
+  store_standin_put (store, "keyed.jobs", "owner/0", "120 other");
+  poll_until (metrics_address, "/metrics", "ibisvane_cells_owned 0\n", 200);
+  iv_store_encode_record (record, "00000000000000ee" IV_KEY_PROGRESS, progress->data,
+                          progress->len);
+  for (gint64 end = (gint64)uv_now (loop) + STATE_AGE_MS; (gint64)uv_now (loop) < end;)
+    uv_run (loop, UV_RUN_ONCE);
+  store_standin_put_raw (store, "keyed.jobs", record->data + 4, record->len - 4);
+  assert_non_null (strstr (send_request ("GET", callers_address, path, NULL).body, "completed"));
+  g_byte_array_free (progress, TRUE);
+  g_byte_array_free (record, TRUE);
+}
+
 int
 main (void)
 {
@@ -298,6 +330,7 @@
     cmocka_unit_test (test_refused_by_the_store_is_not_accepted),
     cmocka_unit_test (test_odd_records_stop_nothing),
     cmocka_unit_test (test_metrics_are_served),
+    cmocka_unit_test (test_state_recorded_by_another_owner_is_told_at_once),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/edge/call_limits.c
+++ b/edge/call_limits.c
@@ -71,10 +71,16 @@
   return known ? iv_response_time_limit_ms (&known->time, min_ms, max_ms) : min_ms;
 }
 
+guint
+iv_call_limits_window (const struct iv_call_limits *limits)
+{
+  return (guint)limits->window;
+}
+
 guint
 iv_call_limits_credit (const struct iv_call_limits *limits)
 {
-  guint window = (guint)limits->window;
+  guint window = iv_call_limits_window (limits);
   return window > limits->in_progress ? window - limits->in_progress : 0;
 }
 
--- a/edge/call_limits.h
+++ b/edge/call_limits.h
@@ -22,6 +22,9 @@
 /** How many calls may be made now beside those in the window. */
 guint iv_call_limits_credit (const struct iv_call_limits *limits);
 
+/** The window: how many calls may be in progress. */
+guint iv_call_limits_window (const struct iv_call_limits *limits);
+
 /** A call that counts in the window was made. Its outcome must follow. */
 void iv_call_limits_enter (struct iv_call_limits *limits);
 
