Let hosts that may own cells read the jobs first, and drop the texts of ended jobs

Small hosts, which own cells only in need, begin 600 ms later. The owner stores an ended job's record again without the text of its specification, with the final progress in one append; hosts that know the job ignore it.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -268,16 +268,16 @@
   g_free (record);
 }
 
-/* Queued before the progress record, and so in one append with it: when that fails, both are
-   collected again. */
+/* Queues a record to be stored in one append with the progress of @a job: when that fails, both are
+   collected again. @a bytes are freed; NULL: there is nothing to record. */
 static void
-record_crashes (struct iv_cell_task *task, const struct iv_job_entry *job)
+record_with_progress (struct iv_cell_task *task, const struct iv_job_entry *job, const char *suffix,
+                      GByteArray *bytes)
 {
-  GByteArray *bytes = iv_owner_encode_crashes (job);
   char key[IV_JOB_ID_LEN + 8];
   if (bytes == NULL)
     return;
-  g_snprintf (key, sizeof key, "%s" IV_KEY_CRASHES, job->id);
+  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
   iv_recorder_add (task->recorder, key, bytes->data, bytes->len, NULL, NULL);
   g_byte_array_free (bytes, TRUE);
 }
@@ -294,7 +294,8 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       const struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      record_crashes (task, job);
+      record_with_progress (task, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
+      record_with_progress (task, job, "", iv_job_encode_ended (job));
       GByteArray *bytes = iv_owner_encode_progress (job);
       struct progress_record *record;
       char key[IV_JOB_ID_LEN + 8];
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -19,6 +19,9 @@
 #define JOBS_WAIT_MS 1000
 /* Callers get job states as last read; the platform allows them to be seconds old. */
 #define JOBS_READ_DELAY_MS 500
+/* When all hosts have restarted, the store is busy for seconds with their loads: those that may own
+   cells come first. */
+#define STANDBY_LOAD_DELAY_MS 600
 #define ACCEPT_BATCH_DELAY_MS 2
 #define ACCEPT_UNKNOWN_TIMEOUT_MS 2500 /* callers wait about this long */
 /* The load balancer removes a host after two failed checks, one second apart. */
@@ -325,11 +328,14 @@
 static void
 start_streams (struct iv_fleet_app *app)
 {
-  struct iv_stream_options jobs = { .topic = IV_TOPIC_JOBS,
-                                    .wait_ms = JOBS_WAIT_MS,
-                                    .read_delay_ms = JOBS_READ_DELAY_MS,
-                                    .apply = apply_job_record,
-                                    .context = app };
+  struct iv_stream_options jobs
+      = { .topic = IV_TOPIC_JOBS,
+          .wait_ms = JOBS_WAIT_MS,
+          .read_delay_ms = JOBS_READ_DELAY_MS,
+          .first_read_delay_ms
+          = iv_membership_is_small (&app->settings->fleet) ? STANDBY_LOAD_DELAY_MS : 0,
+          .apply = apply_job_record,
+          .context = app };
   struct iv_stream_options operators = { .topic = IV_TOPIC_OPERATORS,
                                          .wait_ms = OPERATORS_WAIT_MS,
                                          .read_delay_ms = OPERATORS_READ_DELAY_MS,
--- a/daemon/membership.c
+++ b/daemon/membership.c
@@ -158,12 +158,18 @@
     join (membership);
 }
 
+gboolean
+iv_membership_is_small (const struct iv_fleet_settings *settings)
+{
+  return settings->cpu_milli < STANDBY_BELOW_CPU_MILLI;
+}
+
 struct iv_membership *
 iv_membership_new (const struct iv_membership_deps *deps)
 {
   struct iv_membership *membership = g_new0 (struct iv_membership, 1);
   membership->deps = *deps;
-  membership->small = deps->settings->cpu_milli < STANDBY_BELOW_CPU_MILLI;
+  membership->small = iv_membership_is_small (deps->settings);
   membership->standby = membership->small;
   membership->name = g_strdup_printf ("%s-%08x%s", deps->host, g_random_int (),
                                       membership->small ? STANDBY_NAME_SUFFIX : "");
--- a/daemon/membership.h
+++ b/daemon/membership.h
@@ -32,6 +32,9 @@
 /** Membership of this process. */
 struct iv_membership;
 
+/** Whether a host with @a settings is small: on standby unless it is needed. */
+gboolean iv_membership_is_small (const struct iv_fleet_settings *settings);
+
 /** Join now, or start on standby if the host is small. */
 struct iv_membership *iv_membership_new (const struct iv_membership_deps *deps);
 
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -281,7 +281,7 @@
   stream->pending_barriers = g_array_new (FALSE, FALSE, sizeof (struct barrier));
   stream->next.fire = start_read;
   stream->next.context = stream;
-  schedule_read (stream, 0);
+  schedule_read (stream, options->first_read_delay_ms);
   return stream;
 }
 
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -16,9 +16,10 @@
 /** Topic, read intervals and callbacks. */
 struct iv_stream_options
 {
-  const char *topic;    /**< copied */
-  gint64 wait_ms;       /**< how long a read waits for a record */
-  gint64 read_delay_ms; /**< between two reads: the platform charges for reads */
+  const char *topic;          /**< copied */
+  gint64 wait_ms;             /**< how long a read waits for a record */
+  gint64 read_delay_ms;       /**< between two reads: the platform charges for reads */
+  gint64 first_read_delay_ms; /**< before the first one */
   iv_stream_apply_fn apply;
   iv_stream_ready_fn loaded; /**< after every complete load of the newest records; may be NULL */
   void *context;
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -7,6 +7,9 @@
 #define TIME_MAX_MS G_GINT64_CONSTANT (253402300799999) /* the end of the year 9999 */
 #define SUM_MAX G_GINT64_CONSTANT (8000000000000000000) /* what 64 bits hold, with a margin */
 
+/* A shorter text is not worth another record, which every host reads. */
+#define SPEC_KEPT_BYTES 512
+
 struct iv_job_table
 {
   GHashTable *jobs; /* from id to struct iv_job_entry */
@@ -267,3 +270,14 @@
 {
   return g_hash_table_size (table->jobs);
 }
+
+GByteArray *
+iv_job_encode_ended (const struct iv_job_entry *job)
+{
+  static char no_text[] = "";
+  ivj_job ended = job->spec;
+  if (!iv_job_state_is_final (job->live_state) || strlen (job->spec.spec) <= SPEC_KEPT_BYTES)
+    return NULL;
+  ended.spec = no_text;
+  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, &ended, IV_RECORD_MAX_BYTES);
+}
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -94,4 +94,10 @@
  *  limit or a step depends on a later one. */
 enum iv_status iv_job_validate (const ivj_job *spec);
 
+/** Record of the id of a job that has ended, without the specification that its tasks were started
+ *  with: hosts that restart read all jobs of the retention time. To be stored with its final
+ *  progress; hosts that know the job ignore it. NULL when the job has not ended, or little would be
+ *  saved. */
+GByteArray *iv_job_encode_ended (const struct iv_job_entry *job);
+
 #endif
