--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -734,6 +734,28 @@
   sim_free (sim);
 }
 
+/* Pattern: the store has not confirmed an owner for too long. Guards as above until its next tick.
+ */
+static void
+test_unconfirmed_owner_sends_nothing_for_replies (void **state)
+{
+  struct sim *sim = sim_new (1);
+  guint calls;
+  sim_start_owner (sim);
+  sim_make_job (1, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 300);
+  calls = sim->calls->len;
+  iv_owner_suspend (sim->owner, sim->now_ms);
+  reply_with_unknown_run (sim, sim->now_ms);
+  assert_int_equal (sim->calls->len, calls);
+  sim_advance (sim, 10);
+  calls = sim->calls->len;
+  reply_with_unknown_run (sim, sim->now_ms);
+  assert_int_equal (sim->calls->len, calls + 1);
+  sim_free (sim);
+}
+
 /* Guards against a second run of a task because its row in a list of runs could not be read. */
 static void
 test_list_that_cannot_be_read_proves_no_run_absent (void **state)
@@ -794,6 +816,7 @@
     cmocka_unit_test (test_silent_domain_counts_as_partition),
     cmocka_unit_test (test_one_silent_domain_of_many_counts_as_partition),
     cmocka_unit_test (test_suspended_owner_sends_nothing_for_old_replies),
+    cmocka_unit_test (test_unconfirmed_owner_sends_nothing_for_replies),
     cmocka_unit_test (test_list_that_cannot_be_read_proves_no_run_absent),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
