Start nothing because of an end that a previous owner may see too

A poll of owner 8 that the worker held told that owner as well; it started the task at 21.116 s on a worker that had not replied to owner 9 yet, which started it at 21.139 s.

An adopted run, and the steps that depend on it, now count as known when a list that is newer than all polls the worker can have held still has the run; else what follows waits until every worker has replied. The test of earlier failures plays both.

--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -141,6 +141,7 @@
   gboolean restarted;         /**< this owner knew an instance before the present one */
   gboolean fenced;            /**< it has replied under the term of this owner */
   gint64 fenced_ms;           /**< since when */
+  gint64 fenced_clock_ms;     /**< its clock in that reply */
   gint64 horizon_end_ms;      /**< if it stays silent, no run is left on it from then on */
   gint64 sample_clock_ms;     /**< reading of its clock in the newest reply... */
   gint64 clock_sampled_at_ms; /**< ...and when that reply came, on the owner's clock */
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -30,7 +30,7 @@
   guint crashes_seen;       /**< those of them that it was seen to have started before */
   guint crashes_alone;      /**< those in which it was the only suspect, too */
   guint32 avoid_worker;     /**< handle of the worker on which it last failed; 0: none */
-  gboolean runs_known;      /**< no run of it can exist that this owner does not know of */
+  gboolean runs_known;      /**< no previous owner can have started it, nor learn that it ended */
   char *checkpoint;         /**< to resume from; NULL: start from the beginning */
 };
 
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -8,8 +8,6 @@
 #include <string.h>
 
 #define RUN_TERM_SHIFT 20 /* bits of a run number that count the runs of a task in a term */
-/* The longest interval between lists of runs, which show stalls and tail latencies. */
-#define POLL_WAIT_MS 500
 #define STOP_RETRY_MS 400
 #define SPAN_MAX_MS 1e15 /* a multiple of an objective fits into 64 bits */
 /* Older samples of a worker's clock are refreshed: the error of an estimate grows by 2 % of their
@@ -140,7 +138,6 @@
 {
   task->state = IV_JOB_TASK_PLACED;
   task->placed_run = number;
-  task->runs_known = TRUE;
   stage->placed++;
   exec->placed++;
   exec->started = TRUE;
@@ -156,7 +153,7 @@
   if (task == NULL || task->placed_run != number)
     return;
   iv_owner_clear_placement (exec, stage, task);
-  task->runs_known = TRUE;
+  task->runs_known |= number > owner->run_base;
   owner->needs_dispatch = TRUE;
   if (checkpoint == NULL || *checkpoint == '\0')
     return;
@@ -358,7 +355,7 @@
     {
       lease = iv_worker_clock_min (worker, now_ms) + owner->limits.lease_ms;
       worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, lease);
-      wait = worker->runs->len > 0 ? POLL_WAIT_MS : 0;
+      wait = worker->runs->len > 0 ? IV_POLL_WAIT_MS : 0;
     }
   worker->polling = TRUE;
   owner->effects.poll (owner->effects.context, worker, lease, wait);
@@ -446,7 +443,7 @@
 {
   /* Without confirmation idle workers are polled too: their silence shows a partition, and a reply
      the fence of a newer owner. */
-  gint64 sample_max_ms = confirmed ? CLOCK_SAMPLE_MAX_MS : POLL_WAIT_MS;
+  gint64 sample_max_ms = confirmed ? CLOCK_SAMPLE_MAX_MS : IV_POLL_WAIT_MS;
   gboolean sample_old = now_ms > worker->clock_sampled_at_ms + sample_max_ms;
   if (!worker->polling && (needs_poll (worker) || (worker->listed && sample_old))
       && now_ms >= worker->next_poll_ms)
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -12,6 +12,10 @@
 /** A start takes this long to arrive: failure domains are milliseconds apart. */
 #define IV_MIN_START_WINDOW_MS 100
 
+/** The longest interval between lists of runs, which show stalls and tail latencies: a worker holds
+ *  its reply to a poll for this long. */
+#define IV_POLL_WAIT_MS 500
+
 /** A worker that an advice query names. */
 struct iv_advice_candidate
 {
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -192,16 +192,24 @@
     }
 }
 
+/* Whether the previous owner cannot have been told of the end of run @a number of @a task, so that
+   it starts nothing because of it. */
+static gboolean
+is_told_here_only (const struct iv_owner *owner, const struct iv_job_task *task, gint64 number)
+{
+  return owner->previous_runs_known || number > owner->run_base || task->runs_known;
+}
+
 static void
 handle_done (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_task_name *name,
-             gboolean was_known, gint64 now_ms)
+             gboolean exclusive, gint64 now_ms)
 {
   struct iv_stage *stage = NULL;
   struct iv_job_task *task = iv_job_exec_task (exec, name, &stage);
   struct iv_task_name member = *name;
   if (task == NULL)
     return;
-  if (was_known)
+  if (exclusive)
     mark_dependents_known (exec, name);
   iv_owner_clear_placement (exec, stage, task);
   if (stage->step->flags & IVJ_GANG)
@@ -269,7 +277,8 @@
     return;
   if (end->reason == IV_END_DONE && !is_long_running (exec, &end->name))
     {
-      handle_done (owner, exec, &end->name, was_known, now_ms);
+      handle_done (owner, exec, &end->name,
+                   was_known && is_told_here_only (owner, task, end->number), now_ms);
       return;
     }
   task->run = MAX (task->run, end->number);
@@ -309,10 +318,19 @@
   iv_crash_run_started (run, task);
 }
 
+/* Whether polls that @a worker held when it first replied to this owner have been answered by the
+   time @a clock. */
+static gboolean
+has_answered_previous_polls (const struct iv_fleet_worker *worker, gint64 clock)
+{
+  return clock > worker->fenced_clock_ms + IV_POLL_WAIT_MS + IV_MIN_START_WINDOW_MS;
+}
+
 static void
 note_progress (struct iv_owner *owner, struct iv_run *run, const struct iv_listed_run *listed,
-               gboolean instance_known, gint64 now_ms)
+               const struct iv_poll_reply *reply, gint64 now_ms)
 {
+  gboolean instance_known = reply->start_time_ms == run->worker->start_time_ms;
   struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
   if (instance_known && !run->listed)
@@ -327,6 +345,8 @@
     }
   if (run->phase == IV_RUN_PHASE_STARTING || run->phase == IV_RUN_PHASE_UNCONFIRMED)
     run->phase = IV_RUN_PHASE_RUNNING;
+  if (task && task->placed_run == run->number)
+    task->runs_known |= has_answered_previous_polls (run->worker, reply->clock);
   if (task && task->run == run->number && listed->checkpoint && *listed->checkpoint
       && g_strcmp0 (task->checkpoint, listed->checkpoint) != 0)
     {
@@ -452,7 +472,7 @@
           adopt (owner, worker, listed, now_ms);
           run = iv_run_find (worker, &listed->name, listed->number);
         }
-      note_progress (owner, run, listed, reply->start_time_ms == worker->start_time_ms, now_ms);
+      note_progress (owner, run, listed, reply, now_ms);
     }
   note_partial_list (worker, reply->partial);
   drop_absent (owner, worker, reply, now_ms);
@@ -471,6 +491,7 @@
   gint64 lease_ms = worker->restarted ? owner->limits.lease_max_ms : owner->limits.lease_ms;
   worker->fenced = TRUE;
   worker->fenced_ms = now_ms;
+  worker->fenced_clock_ms = clock;
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, clock + lease_ms);
   owner->needs_dispatch = TRUE;
 }
--- a/jobs/tests/takeover_test.c
+++ b/jobs/tests/takeover_test.c
@@ -453,6 +453,45 @@
   return sim->now_ms - from_ms;
 }
 
+/* Connections are reset during a takeover: guards against a task that two owners start. Polls of
+   the previous owner that its worker holds still tell that owner of an end, and it may start the
+   task on a worker that has not replied to the new owner. */
+static void
+test_end_that_a_previous_owner_may_see_starts_nothing (void **state)
+{
+  static const struct
+  {
+    gint64 end_after_ms; /* from the takeover */
+    enum iv_end_reason reason;
+    guint dependents;
+    guint starts;
+  } rows[] = {
+    { 100, IV_END_STOPPED, 0, 0 },  { 400, IV_END_FAILED, 0, 0 }, { 100, IV_END_DONE, 1, 0 },
+    { 1300, IV_END_STOPPED, 0, 1 }, { 1300, IV_END_DONE, 1, 1 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct sim *sim = sim_new (3);
+      guint silent;
+      sim_start_owner (sim);
+      sim_make_job (1, rows[i].dependents);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 300);
+      assert_int_equal (sim->start_calls, 1);
+      silent = sim->workers[0].runs->len > 0 ? 1 : 0;
+      sim->workers[silent].unreachable = TRUE;
+      sim_start_owner (sim);
+      sim_advance (sim, rows[i].end_after_ms);
+      sim_end_all_runs (sim, rows[i].reason);
+      sim_advance (sim, 1000);
+      assert_int_equal (sim->start_calls, 1 + rows[i].starts);
+      sim->workers[silent].unreachable = FALSE;
+      sim_advance (sim, 1500);
+      assert_int_equal (sim->start_calls, 2);
+      sim_free (sim);
+    }
+}
+
 /* Thin link, hand-over: guards against a task that runs again. Its end was read, the record of it
    was not stored when the owner resigned, and the worker's first reply to the next owner is late.
  */
@@ -520,26 +559,30 @@
 static void
 test_failed_task_waits_for_earlier_failures (void **state)
 {
-  struct sim *sim = run_one_task ();
-  guint first = busy_worker (sim);
-  sim->attempts = 2;
-  sim->store_records = FALSE;
-  sim_end_all_runs (sim, IV_END_FAILED);
-  sim_advance (sim, 300);
-  assert_int_equal (sim->workers[1 - first].runs->len, 1);
-  assert_int_equal (sim->start_calls, 2);
-  sim->workers[first].unreachable = TRUE;
-  sim->store_records = TRUE;
-  sim_start_owner (sim);
-  sim_advance (sim, 300);
-  sim_end_all_runs (sim, IV_END_FAILED);
-  sim_advance (sim, 1000);
-  assert_int_equal (sim->start_calls, 2);
-  sim->workers[first].unreachable = FALSE;
-  sim_advance (sim, 3000);
-  assert_int_equal (sim->start_calls, 2);
-  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
-  sim_free (sim);
+  static const gint64 fails_after_ms[] = { 300, 1300 };
+  for (guint i = 0; i < G_N_ELEMENTS (fails_after_ms); i++)
+    {
+      struct sim *sim = run_one_task ();
+      guint first = busy_worker (sim);
+      sim->attempts = 2;
+      sim->store_records = FALSE;
+      sim_end_all_runs (sim, IV_END_FAILED);
+      sim_advance (sim, 300);
+      assert_int_equal (sim->workers[1 - first].runs->len, 1);
+      assert_int_equal (sim->start_calls, 2);
+      sim->workers[first].unreachable = TRUE;
+      sim->store_records = TRUE;
+      sim_start_owner (sim);
+      sim_advance (sim, fails_after_ms[i]);
+      sim_end_all_runs (sim, IV_END_FAILED);
+      sim_advance (sim, 1000);
+      assert_int_equal (sim->start_calls, 2);
+      sim->workers[first].unreachable = FALSE;
+      sim_advance (sim, 3000);
+      assert_int_equal (sim->start_calls, 2);
+      assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_FAILED);
+      sim_free (sim);
+    }
 }
 
 /* Guards against an entry of another writer that names a worker which never answers: it is asked
@@ -590,6 +633,7 @@
     cmocka_unit_test (test_partition_is_noticed_beside_idle_workers),
     cmocka_unit_test (test_ended_owner_shortens_the_wait),
     cmocka_unit_test (test_horizon_is_waited_for_once),
+    cmocka_unit_test (test_end_that_a_previous_owner_may_see_starts_nothing),
     cmocka_unit_test (test_worker_with_unrecorded_ends_is_waited_for),
     cmocka_unit_test (test_handovers_do_not_add_up_their_waits),
     cmocka_unit_test (test_worker_that_never_replied_is_not_waited_for),
