--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -202,14 +202,14 @@
 
 static void
 handle_done (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_task_name *name,
-             gboolean exclusive, gint64 now_ms)
+             gboolean told_here_only, gint64 now_ms)
 {
   struct iv_stage *stage = NULL;
   struct iv_job_task *task = iv_job_exec_task (exec, name, &stage);
   struct iv_task_name member = *name;
   if (task == NULL)
     return;
-  if (exclusive)
+  if (told_here_only)
     mark_dependents_known (exec, name);
   iv_owner_clear_placement (exec, stage, task);
   if (stage->step->flags & IVJ_GANG)
