Record the largest pieces of each cell, and log what other cells could hold

A waiting long-running task logged what its own cell had, not whether another cell could hold it, which tells a full deployment from a job that cannot leave its cell.

--- /dev/null
+++ b/daemon/cell_loads.h
@@ -0,0 +1,39 @@
+/**
+ * @file cell_loads.h
+ * Free capacity of every cell, as its owner recorded it last, and the cells chosen by it: for new
+ * long-running jobs, for jobs that move, and for single tasks.
+ *
+ * No I/O and no clock: times are passed in, milliseconds on the monotonic clock. What is chosen is
+ * counted as used until the next record of the cell.
+ */
+#ifndef IV_CELL_LOADS_H
+#define IV_CELL_LOADS_H
+
+#include "layout.h"
+#include "owner.h"
+
+struct iv_cell_loads;
+
+struct iv_cell_loads *iv_cell_loads_new (void);
+void iv_cell_loads_free (struct iv_cell_loads *loads);
+
+/** Format the record of a load. @a pieces: struct iv_piece. Free with g_free(). */
+char *iv_cell_loads_format (const struct iv_cell_capacity *capacity, const GArray *pieces);
+
+/** Apply the record of the load of @a cell. */
+void iv_cell_loads_apply (struct iv_cell_loads *loads, guint cell, const char *text, gint64 now_ms);
+
+/** Choose a cell with much more free capacity of @a kind than @a cpu_milli for a job of @a cell; -1:
+ *  there is none, or the job is best off there. */
+gint iv_cell_loads_find_target (struct iv_cell_loads *loads, guint cell, gint64 cpu_milli,
+                                enum iv_capacity_kind kind, gint64 now_ms);
+
+/** Whether to accept a long-running job that needs @a cpu_milli: any cell has the capacity, as the
+ *  job is moved there, or no recent load is known. */
+gboolean iv_cell_loads_admit (struct iv_cell_loads *loads, gint64 cpu_milli, gint64 now_ms);
+
+/** Number of tasks with need @a need that the pieces of the cells other than @a cell hold. */
+guint iv_cell_loads_count_elsewhere (const struct iv_cell_loads *loads, guint cell,
+                                     const struct iv_piece *need, gint64 now_ms);
+
+#endif
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -1,6 +1,7 @@
 #include "cell_private.h"
 
 #include "authority.h"
+#include "cell_loads.h"
 #include "clock.h"
 #include "event.h"
 #include "names.h"
@@ -185,6 +186,13 @@
   return task->deps.find_move_target (task->deps.context, task->cell, cpu_milli, kind);
 }
 
+static guint
+count_elsewhere (void *context, const struct iv_piece *need)
+{
+  struct iv_cell_task *task = context;
+  return task->deps.count_elsewhere (task->deps.context, task->cell, need);
+}
+
 /* A job being moved to another cell. It stays in this cell when the move could not be stored. */
 struct job_move
 {
@@ -393,19 +401,19 @@
 record_load (struct iv_cell_task *task)
 {
   struct iv_cell_capacity capacity;
-  char value[128];
+  GArray *pieces;
+  char *value;
   if (iv_cell_task_now_ms (task) < task->next_load_ms
       || iv_recorder_append_pending (task->recorder))
     return;
   if (!iv_owner_free_capacity (task->owner, &capacity))
     return;
   task->next_load_ms = iv_cell_task_now_ms (task) + LOAD_INTERVAL_MS;
-  g_snprintf (value, sizeof value,
-              "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT
-              " %" G_GINT64_FORMAT,
-              capacity.free_milli, capacity.best_effort_milli, capacity.long_running_milli,
-              capacity.evacuation_milli, capacity.evacuation_large_milli);
+  pieces = iv_owner_free_pieces (task->owner);
+  value = iv_cell_loads_format (&capacity, pieces);
   add_cell_record (task, IV_KEY_LOAD, value, strlen (value));
+  g_array_unref (pieces);
+  g_free (value);
 }
 
 static struct iv_confirmation
@@ -545,6 +553,7 @@
                                       .is_domain_in_service = is_domain_in_service,
                                       .owns_job = owns_job,
                                       .find_move_target = find_move_target,
+                                      .count_elsewhere = count_elsewhere,
                                       .move_job = move_job };
   struct iv_worker_reply_handlers callbacks
       = { task, on_start_replied, on_stop_replied, on_poll_replied, on_advice_replied };
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -1,5 +1,6 @@
 #include "fleet_app.h"
 
+#include "cell_loads.h"
 #include "cell_task.h"
 #include "clock.h"
 #include "counter.h"
@@ -29,23 +30,9 @@
 #define SHUTDOWN_POLL_MS 50
 #define REBALANCE_INTERVAL_MS 2000
 #define RELEASE_MIN_OWNED_MS 5000 /* a change of owner stops the cell for about a second */
-#define LOAD_MAX_AGE_MS 2000      /* owners record the load of a cell every 500 ms */
-/* A long-running job moves only to a cell whose free capacity exceeds that of its own cell by more
-   than this multiple of the job's CPU, so that cells differ by no more. */
-#define LONG_RUNNING_MOVE_FACTOR 1
-/* Any other job moves only to a cell with more than this multiple of the job's CPU free: other jobs
-   may be moving there at the same time. */
-#define MOVE_CAPACITY_FACTOR 3
 #define SWEEP_INTERVAL_MS 5000
 #define RETENTION_MARGIN_MS 30000 /* the clocks of hosts differ by seconds at worst */
 
-/* Free capacity of a cell, and the time when its record was applied. */
-struct cell_load
-{
-  struct iv_cell_capacity capacity;
-  gint64 applied_ms; /* 0: never */
-};
-
 struct iv_fleet_app
 {
   uv_loop_t *loop;
@@ -62,7 +49,7 @@
   struct iv_layout_task *layout;
   struct iv_call_limits *worker_limits; /* of the calls to workers */
   struct iv_cell_task *cells[IV_CELLS_MAX];
-  struct cell_load loads[IV_CELLS_MAX];
+  struct iv_cell_loads *loads;
   gboolean listing_members; /* a request for the members, for rebalance_cells(), is pending */
   gint64 next_rebalance_ms;
   struct iv_front_task *front;
@@ -93,101 +80,30 @@
 }
 
 static gint64
-capacity_of_kind (const struct cell_load *load, enum iv_capacity_kind kind)
+now_ms (const struct iv_fleet_app *app)
 {
-  switch (kind)
-    {
-    case IV_CAPACITY_BEST_EFFORT:
-      return load->capacity.best_effort_milli;
-    case IV_CAPACITY_LONG_RUNNING:
-      return load->capacity.long_running_milli;
-    case IV_CAPACITY_EVACUATION:
-      return load->capacity.evacuation_milli;
-    case IV_CAPACITY_EVACUATION_LARGE:
-      return load->capacity.evacuation_large_milli;
-    case IV_CAPACITY_BATCH:
-    default:
-      return load->capacity.free_milli;
-    }
-}
-
-/* What a cell must have more of than this, to take a job that needs @a cpu_milli from a cell with
-   load @a own. */
-static gint64
-min_move_capacity (const struct cell_load *own, gint64 cpu_milli, enum iv_capacity_kind kind)
-{
-  if (kind == IV_CAPACITY_LONG_RUNNING)
-    return MAX (capacity_of_kind (own, kind), 0) + cpu_milli * LONG_RUNNING_MOVE_FACTOR;
-  return kind == IV_CAPACITY_EVACUATION || kind == IV_CAPACITY_EVACUATION_LARGE
-             ? cpu_milli
-             : cpu_milli * MOVE_CAPACITY_FACTOR;
-}
-
-/* Counts @a cpu_milli as used until the next load record of the cell. */
-static void
-reserve_capacity (struct cell_load *load, gint64 cpu_milli)
-{
-  load->capacity.free_milli -= cpu_milli;
-  load->capacity.best_effort_milli -= cpu_milli;
-  load->capacity.long_running_milli -= cpu_milli;
-  load->capacity.evacuation_milli -= cpu_milli;
-  load->capacity.evacuation_large_milli -= cpu_milli;
-}
-
-/* The cell with the most free capacity, but not @a except; NULL when no recent load exceeds
-   @a min_milli. */
-static struct cell_load *
-find_cell_above (struct iv_fleet_app *app, enum iv_capacity_kind kind, gint64 min_milli,
-                 const struct cell_load *except)
-{
-  const struct iv_layout *layout = get_layout (app);
-  gint64 oldest_ms = (gint64)uv_now (app->loop) - LOAD_MAX_AGE_MS;
-  struct cell_load *best = NULL;
-  for (guint i = 0; layout && i < iv_layout_cells (layout); i++)
-    {
-      struct cell_load *load = &app->loads[i];
-      if (load == except || load->applied_ms == 0 || load->applied_ms < oldest_ms
-          || capacity_of_kind (load, kind) <= min_milli)
-        continue;
-      best = load;
-      min_milli = capacity_of_kind (load, kind);
-    }
-  return best;
+  return (gint64)uv_now (app->loop);
 }
 
 static gint
 find_move_target (void *context, guint cell, gint64 cpu_milli, enum iv_capacity_kind kind)
 {
   struct iv_fleet_app *app = context;
-  struct cell_load *own = &app->loads[cell];
-  gboolean evacuated = kind == IV_CAPACITY_EVACUATION || kind == IV_CAPACITY_EVACUATION_LARGE;
-  /* A cell that cannot hold a job may still have the most capacity. */
-  struct cell_load *best = find_cell_above (app, kind, min_move_capacity (own, cpu_milli, kind),
-                                            evacuated ? own : NULL);
-  if (best == NULL || best == own)
-    {
-      if (kind == IV_CAPACITY_LONG_RUNNING)
-        reserve_capacity (own, cpu_milli);
-      return -1;
-    }
-  reserve_capacity (best, cpu_milli);
-  return (gint)(best - app->loads);
+  return iv_cell_loads_find_target (app->loads, cell, cpu_milli, kind, now_ms (app));
+}
+
+static guint
+count_elsewhere (void *context, guint cell, const struct iv_piece *need)
+{
+  const struct iv_fleet_app *app = context;
+  return iv_cell_loads_count_elsewhere (app->loads, cell, need, now_ms (app));
 }
 
-/* A long-running job is accepted if any cell has the capacity, as the job is moved there, or if no
-   recent load is known. */
 static gboolean
 has_capacity (void *context, const struct iv_job_entry *job)
 {
   struct iv_fleet_app *app = context;
-  gint64 need = iv_job_long_running_milli (&job->spec);
-  struct cell_load *best;
-  if (need == 0 || find_cell_above (app, IV_CAPACITY_LONG_RUNNING, G_MININT64 / 2, NULL) == NULL)
-    return TRUE;
-  best = find_cell_above (app, IV_CAPACITY_LONG_RUNNING, need, NULL);
-  if (best)
-    best->capacity.long_running_milli -= need;
-  return best != NULL;
+  return iv_cell_loads_admit (app->loads, iv_job_long_running_milli (&job->spec), now_ms (app));
 }
 
 static void
@@ -198,25 +114,11 @@
     iv_cell_task_changed (app->cells[i], job);
 }
 
-/* Read a number that sums can be formed with. */
-static gint64
-read_milli (const char *text, char **rest)
-{
-  return CLAMP (g_ascii_strtoll (text, rest, 10), G_MININT64 / 4, G_MAXINT64 / 4);
-}
-
 static void
 apply_load (struct iv_fleet_app *app, guint cell, const guint8 *value, gsize len)
 {
   char *text = g_strndup ((const char *)value, len);
-  char *rest;
-  app->loads[cell].capacity.free_milli = read_milli (text, &rest);
-  app->loads[cell].capacity.best_effort_milli = read_milli (rest, &rest);
-  app->loads[cell].capacity.long_running_milli = read_milli (rest, &rest);
-  /* An earlier release writes three numbers: then these are 0, and take no job. */
-  app->loads[cell].capacity.evacuation_milli = read_milli (rest, &rest);
-  app->loads[cell].capacity.evacuation_large_milli = read_milli (rest, &rest);
-  app->loads[cell].applied_ms = (gint64)uv_now (app->loop);
+  iv_cell_loads_apply (app->loads, cell, text, now_ms (app));
   g_free (text);
 }
 
@@ -450,7 +352,8 @@
                                     .routes = get_routes,
                                     .is_domain_in_service = is_domain_in_service,
                                     .is_idle = is_idle,
-                                    .find_move_target = find_move_target };
+                                    .find_move_target = find_move_target,
+                                    .count_elsewhere = count_elsewhere };
   app->worker_limits = iv_call_limits_new ();
   deps.worker_limits = app->worker_limits;
   deps.workers = iv_http_client_new (app->loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 4 * MIB);
@@ -573,6 +476,7 @@
   app->settings = settings;
   app->deadlines = iv_deadlines_new (loop);
   app->job_table = iv_job_table_new ();
+  app->loads = iv_cell_loads_new ();
   app->domains_out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client = iv_http_client_new (loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 16 * MIB);
   app->store = iv_store_new (client, settings->platform.address);
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -297,7 +297,7 @@
 note_waiting (struct iv_stage *stage, const struct iv_placement_query *query)
 {
   gint64 now_ms = query->now_ms;
-  if (stage->done + stage->placed == stage->step->count)
+  if (iv_stage_waiting (stage) == 0)
     {
       stage->waiting_since_ms = 0;
       return;
@@ -379,7 +379,7 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           struct iv_stage *stage = &occurrence->stages[j];
-          if (stage->done + stage->placed == stage->step->count)
+          if (iv_stage_waiting (stage) == 0)
             stage->waiting_since_ms = 0;
           else if (iv_stage_ready (occurrence, stage))
             dispatch_stage (owner, candidate, occurrence, stage, now_ms);
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -358,10 +358,12 @@
   return sum;
 }
 
-gint64
-iv_worker_reclaimable_milli (const struct iv_fleet_worker *worker)
+struct iv_piece
+iv_worker_reclaimable (const struct iv_fleet_worker *worker)
 {
-  return MAX (0, worker->capacity.cpu_milli - long_running_resources (worker).cpu_milli);
+  struct iv_resources kept = long_running_resources (worker);
+  return (struct iv_piece){ MAX (0, worker->capacity.cpu_milli - kept.cpu_milli),
+                            MAX (0, worker->capacity.mem_mb - kept.mem_mb) };
 }
 
 gboolean
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -9,6 +9,7 @@
 #define IV_FLEET_H
 
 #include "job_exec.h"
+#include "pieces.h"
 
 /** The platform's task protocol permits a worker's clock to run slow by this much. */
 #define IV_WORKER_CLOCK_SLOW_PERCENT 2
@@ -246,9 +247,9 @@
  *  less when the task fits. */
 double iv_worker_shortage (const struct iv_fleet_worker *worker, const ivj_step *step);
 
-/** Cores of @a worker, in thousandths, that its long-running tasks leave: free ones, and those of
- *  tasks that end by themselves. Not negative. */
-gint64 iv_worker_reclaimable_milli (const struct iv_fleet_worker *worker);
+/** Cores and memory of @a worker that its long-running tasks leave: free ones, and those of tasks
+ *  that end by themselves. Not negative. */
+struct iv_piece iv_worker_reclaimable (const struct iv_fleet_worker *worker);
 
 /** Whether a task of @a step fits on @a worker once the runs there that end by themselves, or are
  *  being stopped, have ended. */
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -188,6 +188,12 @@
   return &occurrence->stages[name->step].tasks[name->index];
 }
 
+guint
+iv_stage_waiting (const struct iv_stage *stage)
+{
+  return stage->step->count - stage->done - stage->placed;
+}
+
 gboolean
 iv_stage_ready (const struct iv_occurrence *occurrence, const struct iv_stage *stage)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -99,6 +99,9 @@
 struct iv_job_task *iv_job_exec_task (const struct iv_job_exec *exec,
                                       const struct iv_task_name *name, struct iv_stage **stage);
 
+/** Number of tasks of @a stage that wait for its step to become ready, or for a worker. */
+guint iv_stage_waiting (const struct iv_stage *stage);
+
 /** Whether every step that @a stage depends on is done. */
 gboolean iv_stage_ready (const struct iv_occurrence *occurrence, const struct iv_stage *stage);
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -85,7 +85,7 @@
     {
       const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
-        if (occurrence->stages[j].placed < occurrence->stages[j].step->count)
+        if (iv_stage_waiting (&occurrence->stages[j]) > 0)
           return FALSE;
     }
   return TRUE;
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -14,6 +14,8 @@
 
 #include "fleet.h"
 
+struct iv_owner;
+
 /** Outcome of a request to a worker. */
 enum iv_command_outcome
 {
@@ -164,6 +166,8 @@
   gboolean (*owns_job) (void *context, const struct iv_job_entry *job);
   /** Another cell with much more free capacity of a kind than @a cpu_milli; -1: none. */
   gint (*find_move_target) (void *context, gint64 cpu_milli, enum iv_capacity_kind kind);
+  /** Number of tasks with need @a need that the largest pieces of other cells hold. */
+  guint (*count_elsewhere) (void *context, const struct iv_piece *need);
   /** Record that @a cell serves @a job from now on. */
   void (*move_job) (void *context, const struct iv_job_entry *job, guint cell);
 };
@@ -183,7 +187,10 @@
   gint64 evacuation_large_milli; /**< ...and of the largest */
 };
 
-struct iv_owner;
+/** What the long-running tasks of the cell leave on each usable worker, without what waiting ones
+ *  are going to take: struct iv_piece, the largest IV_PIECES_MAX. Free with g_array_unref(). NULL
+ *  until the runs of previous owners are known. */
+GArray *iv_owner_free_pieces (const struct iv_owner *owner);
 
 /** Take ownership of the cell and of every job of @a jobs that belongs to it, under @a term. */
 struct iv_owner *iv_owner_new (struct iv_job_table *jobs, gint64 term,
--- a/jobs/owner_load.c
+++ b/jobs/owner_load.c
@@ -18,14 +18,16 @@
 static void
 count_worker (struct load *load, const struct iv_fleet_worker *worker, gint64 now_ms)
 {
+  gboolean usable = worker->listed && worker->fenced && worker->failures == 0;
   load->workers++;
-  load->usable += worker->listed && worker->fenced && worker->failures == 0;
+  load->usable += usable;
   load->latency_workers += worker->latency_tasks > 0;
   load->runs += worker->runs->len;
   load->capacity_milli += worker->capacity.cpu_milli;
   load->used_milli += worker->used.cpu_milli;
   load->best_effort_milli += worker->best_effort_cpu_milli;
-  load->reclaimable_milli += iv_worker_reclaimable_milli (worker);
+  if (usable && !worker->draining)
+    load->reclaimable_milli += iv_worker_reclaimable (worker).cpu_milli;
   load->reserved += iv_reserve_is_held (worker, now_ms);
   for (guint i = 0; i < worker->runs->len; i++)
     {
@@ -47,7 +49,7 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           const struct iv_stage *stage = &occurrence->stages[j];
-          guint waiting = stage->step->count - stage->done - stage->placed;
+          guint waiting = iv_stage_waiting (stage);
           if (!iv_stage_ready (occurrence, stage))
             continue;
           load->waiting += waiting;
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -259,7 +259,8 @@
                                        const struct iv_placement_query *query);
 
 /** Log that tasks of the stage have waited for @a waited_ms: how many workers each condition keeps
- *  them from, and the free cores of those that only lack capacity. */
+ *  them from, the free cores of those that only lack capacity and how many of these could hold a
+ *  task without batch tasks, and how many tasks other cells could hold. */
 void iv_place_log_waiting (const struct iv_placement_query *query, gint64 waited_ms);
 
 #endif
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -217,6 +217,9 @@
   guint refusals[CONDITIONS + 1] = { 0 };
   gint64 free_milli = 0;
   gint64 largest_milli = 0;
+  guint holding = 0;
+  const struct iv_owner_effects *effects = &query->owner->effects;
+  const struct iv_piece need = { stage->step->cpu_milli, stage->step->mem_mb };
   GString *counts = g_string_new (NULL);
   GHashTableIter iter;
   gpointer value;
@@ -229,6 +232,7 @@
         continue;
       free_milli += iv_worker_free_milli (value);
       largest_milli = MAX (largest_milli, iv_worker_free_milli (value));
+      holding += iv_worker_can_hold (value, stage->step);
     }
   for (guint i = 0; i < CONDITIONS; i++)
     if (refusals[i] > 0)
@@ -236,10 +240,10 @@
   iv_event (IV_LEVEL_INFO, "stage.waiting",
             "job=%s step=%u tasks=%u waited_ms=%" G_GINT64_FORMAT
             " needs_milli=%u needs_mb=%u free_milli=%" G_GINT64_FORMAT
-            " largest_milli=%" G_GINT64_FORMAT " usable=%u%s",
-            query->job->id, stage->number, stage->step->count - stage->done - stage->placed,
-            waited_ms, stage->step->cpu_milli, stage->step->mem_mb, free_milli, largest_milli,
-            refusals[CONDITIONS], counts->str);
+            " largest_milli=%" G_GINT64_FORMAT " holding=%u elsewhere=%u usable=%u%s",
+            query->job->id, stage->number, iv_stage_waiting (stage), waited_ms,
+            stage->step->cpu_milli, stage->step->mem_mb, free_milli, largest_milli, holding,
+            effects->count_elsewhere (effects->context, &need), refusals[CONDITIONS], counts->str);
   g_string_free (counts, TRUE);
 }
 
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -34,7 +34,7 @@
       demand->long_running_milli += (gint64)stage->step->cpu_milli * unfinished;
       demand->long_running_tasks += unfinished;
       demand->largest_milli = MAX (demand->largest_milli, (gint64)stage->step->cpu_milli);
-      demand->unplaced_milli += (gint64)stage->step->cpu_milli * (unfinished - stage->placed);
+      demand->unplaced_milli += (gint64)stage->step->cpu_milli * iv_stage_waiting (stage);
     }
   else if (iv_stage_ready (occurrence, stage))
     demand->batch_milli += (gint64)stage->step->cpu_milli * unfinished;
@@ -88,7 +88,7 @@
 static gint64
 whole_pieces_milli (const struct iv_fleet_worker *worker, gint64 piece_milli)
 {
-  gint64 free_milli = iv_worker_reclaimable_milli (worker);
+  gint64 free_milli = iv_worker_reclaimable (worker).cpu_milli;
   return piece_milli > 0 ? free_milli / piece_milli * piece_milli : free_milli;
 }
 
@@ -130,3 +130,82 @@
         - MIN (owner->batch_demand_milli, total_milli * BATCH_RESERVE_MAX_PERCENT / 100);
   return TRUE;
 }
+
+/* Tasks of one step that wait, and what each needs. */
+struct waiting
+{
+  struct iv_piece need;
+  guint count;
+};
+
+static gint
+compare_needs (gconstpointer a, gconstpointer b)
+{
+  const struct waiting *x = a;
+  const struct waiting *y = b;
+  return (x->need.cpu_milli < y->need.cpu_milli) - (x->need.cpu_milli > y->need.cpu_milli);
+}
+
+/* The long-running tasks that wait, by step, large ones first. */
+static GArray *
+list_waiting (const struct iv_owner *owner)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct waiting));
+  for (guint i = 0; i < owner->execs->len; i++)
+    {
+      const struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      for (guint j = 0; j < exec->open->len; j++)
+        {
+          const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, j);
+          for (guint k = 0; k < exec->job->spec.steps.steps_len; k++)
+            {
+              const struct iv_stage *stage = &occurrence->stages[k];
+              const ivj_step *step = stage->step;
+              struct waiting row = { { step->cpu_milli, step->mem_mb }, iv_stage_waiting (stage) };
+              if ((step->flags & (IVJ_LONG_RUNNING | IVJ_BEST_EFFORT)) == IVJ_LONG_RUNNING
+                  && row.count > 0)
+                g_array_append_val (rows, row);
+            }
+        }
+    }
+  g_array_sort (rows, compare_needs);
+  return rows;
+}
+
+static GArray *
+list_pieces (const struct iv_owner *owner)
+{
+  GArray *pieces = g_array_new (FALSE, FALSE, sizeof (struct iv_piece));
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct iv_fleet_worker *worker = value;
+      struct iv_piece piece = iv_worker_reclaimable (worker);
+      if (is_usable (owner, worker) && worker->recorded && worker->unsized_runs == 0
+          && piece.cpu_milli > 0)
+        g_array_append_val (pieces, piece);
+    }
+  return pieces;
+}
+
+GArray *
+iv_owner_free_pieces (const struct iv_owner *owner)
+{
+  GArray *pieces;
+  GArray *waiting;
+  if (!owner->previous_runs_known)
+    return NULL;
+  pieces = list_pieces (owner);
+  waiting = list_waiting (owner);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const struct waiting *row = &g_array_index (waiting, struct waiting, i);
+      for (guint j = 0; j < row->count && iv_pieces_take (pieces, &row->need); j++)
+        ;
+    }
+  g_array_unref (waiting);
+  iv_pieces_keep_largest (pieces, IV_PIECES_MAX);
+  return pieces;
+}
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -313,6 +313,13 @@
   return free_milli > cpu_milli ? 1 : -1;
 }
 
+static guint
+on_count_elsewhere (void *context, const struct iv_piece *need)
+{
+  const struct sim *sim = context;
+  return (guint)(sim->other_cell_milli / MAX (need->cpu_milli, 1));
+}
+
 static void
 on_move_job (void *context, const struct iv_job_entry *job, guint cell)
 {
@@ -339,6 +346,7 @@
                                       .is_domain_in_service = on_is_domain_in_service,
                                       .owns_job = on_owns_job,
                                       .find_move_target = on_find_move_target,
+                                      .count_elsewhere = on_count_elsewhere,
                                       .move_job = on_move_job };
   iv_owner_free (sim->owner);
   sim->term++;
