Accuse no task when workers of all racks went at once

When a fifth of the workers is gone at once, the newest run on each was suspected of having crashed it, as only the loss of most of a rack or a domain counted as a common cause.

Workers on which nothing was new are no victims of a new run. When they went as well, in about the share that they have among the others, the new runs did not make the difference, and nobody is accused.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -77,6 +77,7 @@
 void
 iv_crash_worker_replied (struct iv_owner *owner, struct iv_fleet_worker *worker)
 {
+  worker->lapsed_unproven = FALSE;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
@@ -102,19 +103,38 @@
          && other->instance_alive_since_ms <= alive_ms && other->alive_ms > alive_ms + TOGETHER_MS;
 }
 
+/* Whether nothing new is on @a worker, or was when its instance ended that ended last. */
+static gboolean
+had_nothing_new (const struct iv_fleet_worker *worker)
+{
+  if (worker->failures > 0 || worker->ended_alive_ms == 0)
+    return !worker->lapsed_unproven && count_unproven (worker) == 0;
+  return !worker->ended_unproven;
+}
+
 /* Workers that went at about the same time as one of them, and those that did not. */
 struct neighbours
 {
   guint ended;
   guint survived;
+  guint ended_clean;    /* those of them on which nothing was new... */
+  guint survived_clean; /* ...or is */
 };
 
 static void
 count_neighbour (struct neighbours *neighbours, const struct iv_fleet_worker *other,
                  gint64 alive_ms)
 {
-  neighbours->ended += ended_with (other, alive_ms);
-  neighbours->survived += survived (other, alive_ms);
+  if (ended_with (other, alive_ms))
+    {
+      neighbours->ended++;
+      neighbours->ended_clean += had_nothing_new (other);
+    }
+  else if (survived (other, alive_ms))
+    {
+      neighbours->survived++;
+      neighbours->survived_clean += count_unproven (other) == 0;
+    }
 }
 
 static gboolean
@@ -123,12 +143,24 @@
   return neighbours->ended >= TOGETHER_MIN && neighbours->ended >= 2 * neighbours->survived;
 }
 
+/* Whether workers on which nothing was new went as well, and are about as many among those that
+   went as among the others: then it was not the new runs that made the difference. */
+static gboolean
+went_at_random (const struct neighbours *neighbours)
+{
+  guint64 ended = neighbours->ended + 1; /* the worker in question has new runs */
+  return neighbours->ended_clean >= TOGETHER_MIN
+         && 2 * (guint64)neighbours->ended_clean * neighbours->survived
+                >= neighbours->survived_clean * ended;
+}
+
 /* The cause of an end that is not to be looked for among the runs; NULL: there is none. */
 static const char *
 outer_cause (const struct iv_owner *owner, const struct iv_fleet_worker *worker)
 {
   struct neighbours rack = { 0 };
   struct neighbours domain = { 0 };
+  struct neighbours cell = { 0 };
   GHashTableIter iter;
   gpointer value;
   if (worker->draining || worker->left_in_order)
@@ -139,6 +171,7 @@
       const struct iv_fleet_worker *other = value;
       if (other == worker)
         continue;
+      count_neighbour (&cell, other, worker->alive_ms);
       if (g_strcmp0 (other->rack, worker->rack) == 0)
         count_neighbour (&rack, other, worker->alive_ms);
       if (g_strcmp0 (other->domain, worker->domain) == 0)
@@ -146,7 +179,9 @@
     }
   if (have_common_cause (&rack))
     return "rack";
-  return have_common_cause (&domain) ? "domain" : NULL;
+  if (have_common_cause (&domain))
+    return "domain";
+  return went_at_random (&cell) ? "random" : NULL;
 }
 
 static void
@@ -378,13 +413,15 @@
   if (cause == NULL)
     accuse_unproven (owner, worker, evidence);
   worker->ended_alive_ms = worker->alive_ms;
+  worker->ended_unproven = count_unproven (worker) > 0;
   worker->left_in_order = FALSE;
 }
 
 void
 iv_crash_run_lapsed (struct iv_owner *owner, struct iv_run *run)
 {
-  const struct iv_fleet_worker *worker = run->worker;
+  struct iv_fleet_worker *worker = run->worker;
+  worker->lapsed_unproven |= !run->proven;
   log_lost_run (run, worker->listed ? "silent" : "silent_unlisted");
   if (!worker->listed && !run->proven && !run->accused && outer_cause (owner, worker) == NULL)
     accuse (owner, run, FALSE, FALSE, "silent_unlisted");
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -324,6 +324,57 @@
   sim_free (sim);
 }
 
+static gboolean
+is_suspected (const struct sim *sim, const char *id)
+{
+  return iv_job_table_find (sim->job_table, id)->has_crash_record;
+}
+
+static void
+lose_worker (struct sim *sim, guint worker)
+{
+  sim->workers[worker].unreachable = TRUE;
+  sim->workers[worker].unlisted = TRUE;
+  iv_owner_worker_unlisted (sim->owner, sim->workers[worker].id, sim->now_ms);
+}
+
+/* Guards against tasks under suspicion because many workers of all racks went at once: each takes a
+   worker for itself for a second, while all that was lost has to start again. Workers on which
+   nothing was new went too, so that the new tasks on the others are not to blame. */
+static void
+test_loss_of_workers_of_all_racks_accuses_nobody (void **state)
+{
+  static const struct
+  {
+    guint lost[4];
+    guint count;
+    gboolean suspected;
+  } rows[] = { { { 0, 3, 4, 7 }, 4, FALSE }, { { 0, 3, 4, 7 }, 2, TRUE } };
+  for (guint row = 0; row < G_N_ELEMENTS (rows); row++)
+    {
+      struct sim *sim = sim_new (8);
+      /* Long-running tasks fill all but the first two that are lost. */
+      for (guint i = 0; i < sim->count; i++)
+        sim->workers[i].capacity_milli = i == 0 || i == 3 ? 4000 : 2000;
+      sim_start_owner (sim);
+      sim_make_job (8, 0);
+      sim_steps[0].flags = IVJ_LONG_RUNNING;
+      sim_steps[0].per_worker_max = 1;
+      sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+      sim_advance (sim, 3000);
+      sim_make_job (2, 0);
+      sim_submit (sim, JOB_ID, &sim_spec);
+      sim_advance (sim, 50);
+      assert_int_equal (sim_worker_runs (sim, 0, JOB_ID) + sim_worker_runs (sim, 3, JOB_ID), 2);
+      for (guint i = 0; i < rows[row].count; i++)
+        lose_worker (sim, rows[row].lost[i]);
+      sim_advance (sim, sim->limits.lease_ms + 2000);
+      assert_int_equal (is_suspected (sim, JOB_ID), rows[row].suspected);
+      assert_false (is_suspected (sim, OTHER_JOB_ID));
+      sim_free (sim);
+    }
+}
+
 /* Silence is no crash: a task whose leases ran out twice on workers that were cut off, and whose
    third worker crashed, has seen one crash only. */
 static void
@@ -471,6 +522,7 @@
     cmocka_unit_test (test_crash_in_company_is_no_proof),
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
+    cmocka_unit_test (test_loss_of_workers_of_all_racks_accuses_nobody),
     cmocka_unit_test (test_silence_is_no_crash),
     cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
     cmocka_unit_test (test_start_to_a_worker_that_had_gone_is_no_crash),
