Hold runs of a previous owner to be no news

A new owner counted the time that a worker survives a run from its own first list. When the worker went within half a second of that, every run on it was suspected of a crash, long-running ones too, and had to start again apart from all others. What a previous owner started has been there before this one asked, and a start that was suspected before is announced in its record, so such runs count as survived unless their task is under suspicion already.

--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -316,6 +316,8 @@
     }
   task->run = listed->number;
   iv_crash_run_started (run, task);
+  /* When a previous owner started it is not known, only that the worker has survived it so far. */
+  run->proven = task->crashes == 0 && listed->number <= owner->run_base;
 }
 
 /* Whether polls that @a worker held when it first replied to this owner have been answered by the
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -375,6 +375,27 @@
     }
 }
 
+/* Guards against long-running tasks under suspicion, after a worker went just when its cell had a
+   new owner: to it, all runs there looked as if they had just been started. */
+static void
+test_runs_of_a_previous_owner_are_not_new (void **state)
+{
+  struct sim *sim = cell_with_deadly (4, 1, 0, NULL);
+  guint worker;
+  sim->run_ms = 0;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 3000);
+  sim_start_owner (sim);
+  sim_advance (sim, 50);
+  worker = sim_find_worker (sim, JOB_ID);
+  assert_int_not_equal (worker, sim->count);
+  lose_worker (sim, worker);
+  sim_advance (sim, SIM_LEASE_MAX_MS + 2000);
+  assert_false (is_suspected (sim, JOB_ID));
+  sim_free (sim);
+}
+
 /* Silence is no crash: a task whose leases ran out twice on workers that were cut off, and whose
    third worker crashed, has seen one crash only. */
 static void
@@ -523,6 +544,7 @@
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
     cmocka_unit_test (test_loss_of_workers_of_all_racks_accuses_nobody),
+    cmocka_unit_test (test_runs_of_a_previous_owner_are_not_new),
     cmocka_unit_test (test_silence_is_no_crash),
     cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
     cmocka_unit_test (test_start_to_a_worker_that_had_gone_is_no_crash),
