Delegate single tasks to a cell with a piece for them

A job moved to another cell whole or not at all.

A task that has waited half a second, and that no worker of its cell can hold, is delegated: the owner records which cell runs it, and starts it no more; the owner of that cell runs it, and records its return when it finds no worker. Each writes while the task has no run, under the term that fences its cell, so a task belongs to one cell at a time whichever owners change. Records carry a generation: what is read again changes nothing. The cell that has the task records nothing else of the job. Steps with gangs, racks, schedules, dependencies or best-effort tasks are not delegated, nor suspected tasks.

--- a/daemon/cell_loads.c
+++ b/daemon/cell_loads.c
@@ -136,6 +136,29 @@
   return best != NULL;
 }
 
+gint
+iv_cell_loads_find_delegate (struct iv_cell_loads *loads, guint cell, const struct iv_piece *need,
+                             gint64 now_ms)
+{
+  struct cell_load *best = NULL;
+  guint most = 0;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    {
+      struct cell_load *load = &loads->cells[i];
+      guint count
+          = i != cell && is_recent (load, now_ms) ? iv_pieces_count (load->pieces, need) : 0;
+      if (count <= most)
+        continue;
+      most = count;
+      best = load;
+    }
+  if (best == NULL)
+    return -1;
+  iv_pieces_take (best->pieces, need);
+  reserve_capacity (best, need->cpu_milli);
+  return (gint)(best - loads->cells);
+}
+
 guint
 iv_cell_loads_count_elsewhere (const struct iv_cell_loads *loads, guint cell,
                                const struct iv_piece *need, gint64 now_ms)
--- a/daemon/cell_loads.h
+++ b/daemon/cell_loads.h
@@ -23,8 +23,8 @@
 /** Apply the record of the load of @a cell. */
 void iv_cell_loads_apply (struct iv_cell_loads *loads, guint cell, const char *text, gint64 now_ms);
 
-/** Choose a cell with much more free capacity of @a kind than @a cpu_milli for a job of @a cell; -1:
- *  there is none, or the job is best off there. */
+/** Choose a cell with much more free capacity of @a kind than @a cpu_milli for a job of @a cell;
+ * -1: there is none, or the job is best off there. */
 gint iv_cell_loads_find_target (struct iv_cell_loads *loads, guint cell, gint64 cpu_milli,
                                 enum iv_capacity_kind kind, gint64 now_ms);
 
@@ -32,6 +32,11 @@
  *  job is moved there, or no recent load is known. */
 gboolean iv_cell_loads_admit (struct iv_cell_loads *loads, gint64 cpu_milli, gint64 now_ms);
 
+/** Choose a cell other than @a cell with a piece for a task with need @a need; -1: there is none.
+ */
+gint iv_cell_loads_find_delegate (struct iv_cell_loads *loads, guint cell,
+                                  const struct iv_piece *need, gint64 now_ms);
+
 /** Number of tasks with need @a need that the pieces of the cells other than @a cell hold. */
 guint iv_cell_loads_count_elsewhere (const struct iv_cell_loads *loads, guint cell,
                                      const struct iv_piece *need, gint64 now_ms);
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -186,6 +186,13 @@
   return task->deps.find_move_target (task->deps.context, task->cell, cpu_milli, kind);
 }
 
+static gint
+find_delegate (void *context, const struct iv_piece *need)
+{
+  struct iv_cell_task *task = context;
+  return task->deps.find_delegate (task->deps.context, task->cell, need);
+}
+
 static guint
 count_elsewhere (void *context, const struct iv_piece *need)
 {
@@ -227,6 +234,43 @@
   iv_recorder_add (task->recorder, key, value, strlen (value), on_move_stored, move);
 }
 
+/* A delegation record being appended. The task stays in this cell when it could not be stored. */
+struct delegation_record
+{
+  struct iv_cell_task *task;
+  gint64 term;
+  char id[IV_JOB_ID_LEN + 1];
+  struct iv_delegation delegation;
+};
+
+static void
+on_delegation_stored (void *context, enum iv_status status, gint64 end)
+{
+  struct delegation_record *record = context;
+  struct iv_cell_task *task = record->task;
+  struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, record->id);
+  if (status == IV_ERR_UNAVAILABLE && job && task->owner && task->term == record->term)
+    iv_owner_delegation_failed (task->owner, job, &record->delegation);
+  g_free (record);
+}
+
+static void
+record_delegation (void *context, const struct iv_job_entry *job,
+                   const struct iv_delegation *delegation)
+{
+  struct iv_cell_task *task = context;
+  struct delegation_record *record = g_new0 (struct delegation_record, 1);
+  char *key = iv_delegation_format_key (job->id, delegation);
+  char *value = iv_delegation_format_value (delegation);
+  record->task = task;
+  record->term = task->term;
+  record->delegation = *delegation;
+  g_strlcpy (record->id, job->id, sizeof record->id);
+  iv_recorder_add (task->recorder, key, value, strlen (value), on_delegation_stored, record);
+  g_free (value);
+  g_free (key);
+}
+
 /* A batch of progress records. Once it is stored, workers may discard the ends that it covers. */
 struct progress_batch
 {
@@ -552,7 +596,10 @@
                                       .queue = get_queue_policy,
                                       .is_domain_in_service = is_domain_in_service,
                                       .owns_job = owns_job,
+                                      .cell = (gint)task->cell,
                                       .find_move_target = find_move_target,
+                                      .find_delegate = find_delegate,
+                                      .record_delegation = record_delegation,
                                       .count_elsewhere = count_elsewhere,
                                       .move_job = move_job };
   struct iv_worker_reply_handlers callbacks
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -37,6 +37,8 @@
   /** Another cell with much more free capacity of a kind than @a cpu_milli; -1: none. */
   gint (*find_move_target) (void *context, guint cell, gint64 cpu_milli,
                             enum iv_capacity_kind kind);
+  /** A cell other than @a cell that could hold a task with need @a need; -1: none. */
+  gint (*find_delegate) (void *context, guint cell, const struct iv_piece *need);
   /** Number of tasks with need @a need that the largest pieces of the cells but @a cell hold. */
   guint (*count_elsewhere) (void *context, guint cell, const struct iv_piece *need);
 };
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -92,6 +92,13 @@
   return iv_cell_loads_find_target (app->loads, cell, cpu_milli, kind, now_ms (app));
 }
 
+static gint
+find_delegate (void *context, guint cell, const struct iv_piece *need)
+{
+  struct iv_fleet_app *app = context;
+  return iv_cell_loads_find_delegate (app->loads, cell, need, now_ms (app));
+}
+
 static guint
 count_elsewhere (void *context, guint cell, const struct iv_piece *need)
 {
@@ -353,6 +360,7 @@
                                     .is_domain_in_service = is_domain_in_service,
                                     .is_idle = is_idle,
                                     .find_move_target = find_move_target,
+                                    .find_delegate = find_delegate,
                                     .count_elsewhere = count_elsewhere };
   app->worker_limits = iv_call_limits_new ();
   deps.worker_limits = app->worker_limits;
@@ -399,6 +407,27 @@
   return layout && iv_cell_task_owns (app->cells[iv_layout_job_cell (layout, job)]);
 }
 
+static void
+delete_key (struct iv_fleet_app *app, char *key)
+{
+  iv_recorder_add (app->recorder, key, NULL, 0, NULL, NULL);
+  g_free (key);
+}
+
+static void
+delete_keys (struct iv_fleet_app *app, const struct iv_job_entry *job)
+{
+  static const char *const suffixes[]
+      = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE, IV_KEY_CRASHES };
+  const gboolean has_key[] = { TRUE, TRUE, job->cancel, job->moved_to >= 0, job->has_crash_record };
+  for (guint i = 0; i < G_N_ELEMENTS (suffixes); i++)
+    if (has_key[i])
+      delete_key (app, g_strconcat (job->id, suffixes[i], NULL));
+  for (guint i = 0; job->delegations && i < job->delegations->len; i++)
+    delete_key (app, iv_delegation_format_key (
+                         job->id, &g_array_index (job->delegations, struct iv_delegation, i)));
+}
+
 /* Ended jobs stay queryable for the retention time. Then every host removes them from its table,
    and the owner of their cell deletes their keys. */
 static void
@@ -414,17 +443,8 @@
   for (guint i = 0; i < expired->len; i++)
     {
       const struct iv_job_entry *job = g_ptr_array_index (expired, i);
-      static const char *const key_suffixes[]
-          = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE, IV_KEY_CRASHES };
-      const gboolean has_key[]
-          = { TRUE, TRUE, job->cancel, job->moved_to >= 0, job->has_crash_record };
-      for (guint j = 0; owns_cell_of (app, job) && j < G_N_ELEMENTS (key_suffixes); j++)
-        {
-          char key[IV_JOB_ID_LEN + 8];
-          g_snprintf (key, sizeof key, "%s%s", job->id, key_suffixes[j]);
-          if (has_key[j])
-            iv_recorder_add (app->recorder, key, NULL, 0, NULL, NULL);
-        }
+      if (owns_cell_of (app, job))
+        delete_keys (app, job);
       iv_job_table_remove (app->job_table, job->id);
     }
   g_ptr_array_free (expired, TRUE);
--- a/daemon/tests/cell_loads_test.c
+++ b/daemon/tests/cell_loads_test.c
@@ -38,8 +38,8 @@
   iv_cell_loads_apply (loads, 1, text, NOW_MS);
   assert_int_equal (iv_cell_loads_count_elsewhere (loads, 0, &need, NOW_MS), 4);
   assert_int_equal (iv_cell_loads_count_elsewhere (loads, 1, &need, NOW_MS), 0);
-  assert_int_equal (
-      iv_cell_loads_count_elsewhere (loads, 0, &need, NOW_MS + LOAD_MAX_AGE_MS + 1), 0);
+  assert_int_equal (iv_cell_loads_count_elsewhere (loads, 0, &need, NOW_MS + LOAD_MAX_AGE_MS + 1),
+                    0);
   g_free (text);
   g_array_unref (pieces);
   iv_cell_loads_free (loads);
--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -239,7 +239,8 @@
   struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, NULL) : NULL;
   run->accused = TRUE;
-  if (task == NULL || task->state == IV_JOB_TASK_DONE)
+  /* Only its own cell records the crashes of a task; a task under suspicion is not delegated. */
+  if (task == NULL || task->state == IV_JOB_TASK_DONE || exec->guest_cell >= 0)
     return;
   task->start_announced = FALSE;
   task->crashes++;
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -2,6 +2,49 @@
 
 #include <string.h>
 
+/* A task that was returned is not delegated again until the load of the cell that returned it is
+ * newer.
+ */
+#define DELEGATE_AGAIN_MS 2000
+
+static void
+set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
+{
+  task->state = away ? IV_JOB_TASK_AWAY : IV_JOB_TASK_WAITING;
+  stage->away = away ? stage->away + 1 : stage->away - 1;
+}
+
+static void
+apply_delegation (const struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+                  const struct iv_delegation *delegation, gint64 now_ms)
+{
+  gint cell = delegation ? delegation->cell : -1;
+  if (delegation && delegation->generation >= task->delegation_sent)
+    task->delegation_sent = 0;
+  if (task->delegation_sent > 0)
+    return;
+  if (task->state == IV_JOB_TASK_WAITING && cell != exec->guest_cell)
+    set_away (stage, task, TRUE);
+  else if (task->state == IV_JOB_TASK_AWAY && cell == exec->guest_cell)
+    {
+      set_away (stage, task, FALSE);
+      task->delegate_not_before_ms = now_ms + DELEGATE_AGAIN_MS;
+    }
+}
+
+static void
+apply_delegations (const struct iv_job_exec *exec, struct iv_occurrence *occurrence, gint64 now_ms)
+{
+  struct iv_task_name name = { .occurrence = occurrence->number };
+  for (name.step = 0; name.step < exec->job->spec.steps.steps_len; name.step++)
+    {
+      struct iv_stage *stage = &occurrence->stages[name.step];
+      for (name.index = 0; name.index < stage->step->count; name.index++)
+        apply_delegation (exec, stage, &stage->tasks[name.index],
+                          iv_delegations_find (exec->job->delegations, &name), now_ms);
+    }
+}
+
 static struct iv_occurrence *
 occurrence_new (const ivj_job *spec, guint number)
 {
@@ -88,6 +131,7 @@
   guint count = MIN (exec->job->spec.steps.steps_len, progress->steps.steps_len);
   for (guint i = 0; i < count; i++)
     load_stage (occurrence, &occurrence->stages[i], &progress->steps.steps_val[i]);
+  apply_delegations (exec, occurrence, exec->first_seen_ms);
   g_ptr_array_add (exec->open, occurrence);
   exec->opened = MAX (exec->opened, progress->number + 1);
 }
@@ -112,32 +156,84 @@
     }
 }
 
-struct iv_job_exec *
-iv_job_exec_new (struct iv_job_entry *job, gint64 now_ms)
+static struct iv_job_exec *
+exec_new (struct iv_job_entry *job, gint guest_cell, gint64 now_ms)
 {
   struct iv_job_exec *exec = g_new0 (struct iv_job_exec, 1);
   exec->job = job;
+  exec->guest_cell = guest_cell;
   exec->open = g_ptr_array_new ();
   exec->opened = job->progress.opened;
   exec->first_seen_ms = now_ms;
   exec->last_placed_ms = now_ms;
   exec->evacuate_to = -1;
-  job->live_state = job->progress.state;
-  exec->started = job->live_state != IVJ_QUEUED;
   for (guint i = 0; i < job->progress.open.open_len; i++)
     load_occurrence (exec, &job->progress.open.open_val[i]);
+  return exec;
+}
+
+struct iv_job_exec *
+iv_job_exec_new (struct iv_job_entry *job, gint64 now_ms)
+{
+  struct iv_job_exec *exec = exec_new (job, -1, now_ms);
+  job->live_state = job->progress.state;
+  exec->started = job->live_state != IVJ_QUEUED;
   load_crashes (exec);
   job->exec = exec;
   return exec;
 }
 
+struct iv_job_exec *
+iv_job_exec_new_guest (struct iv_job_entry *job, gint cell, gint64 now_ms)
+{
+  job->guests++;
+  return exec_new (job, cell, now_ms);
+}
+
+void
+iv_job_exec_apply_delegations (struct iv_job_exec *exec, gint64 now_ms)
+{
+  for (guint i = 0; i < exec->open->len; i++)
+    apply_delegations (exec, g_ptr_array_index (exec->open, i), now_ms);
+}
+
+void
+iv_job_exec_give_away (struct iv_stage *stage, struct iv_job_task *task, guint generation)
+{
+  set_away (stage, task, TRUE);
+  task->delegation_sent = generation;
+}
+
+void
+iv_job_exec_take_back (struct iv_stage *stage, struct iv_job_task *task)
+{
+  set_away (stage, task, FALSE);
+  task->delegation_sent = 0;
+}
+
+guint
+iv_job_exec_away (const struct iv_job_exec *exec)
+{
+  guint count = 0;
+  for (guint i = 0; i < exec->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
+      for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
+        count += occurrence->stages[j].away;
+    }
+  return count;
+}
+
 void
 iv_job_exec_free (struct iv_job_exec *exec)
 {
   for (guint i = 0; i < exec->open->len; i++)
     occurrence_free (g_ptr_array_index (exec->open, i), exec->job->spec.steps.steps_len);
   g_ptr_array_free (exec->open, TRUE);
-  exec->job->exec = NULL;
+  if (exec->guest_cell >= 0)
+    exec->job->guests--;
+  else
+    exec->job->exec = NULL;
   g_free (exec);
 }
 
@@ -156,7 +252,9 @@
       exec->opened < occurrence_count (spec)
       && (spec->times == 0 || spec->first_ms + (gint64)exec->opened * spec->interval_ms <= wall_ms))
     {
-      g_ptr_array_add (exec->open, occurrence_new (spec, exec->opened));
+      struct iv_occurrence *occurrence = occurrence_new (spec, exec->opened);
+      apply_delegations (exec, occurrence, exec->first_seen_ms);
+      g_ptr_array_add (exec->open, occurrence);
       exec->opened++;
       opened_any = TRUE;
     }
@@ -191,7 +289,7 @@
 guint
 iv_stage_waiting (const struct iv_stage *stage)
 {
-  return stage->step->count - stage->done - stage->placed;
+  return stage->step->count - stage->done - stage->placed - stage->away;
 }
 
 gboolean
@@ -250,7 +348,7 @@
 iv_job_exec_running (struct iv_job_exec *exec)
 {
   exec->started = TRUE;
-  if (exec->job->live_state != IVJ_QUEUED)
+  if (exec->guest_cell >= 0 || exec->job->live_state != IVJ_QUEUED)
     return;
   exec->job->live_state = IVJ_RUNNING;
   exec->needs_record = TRUE;
@@ -434,7 +532,7 @@
         {
           const struct iv_stage *stage = &occurrence->stages[j];
           work += (gint64)stage->step->cpu_milli * (gint64)stage->step->estimate_ms
-                  * (stage->step->count - stage->done) / 1000;
+                  * (stage->step->count - stage->done - stage->away) / 1000;
         }
     }
   return work;
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -13,7 +13,8 @@
 {
   IV_JOB_TASK_WAITING, /**< waits for its step to become ready, or for a worker */
   IV_JOB_TASK_PLACED,  /**< runs, or may run, on a worker */
-  IV_JOB_TASK_DONE     /**< completed */
+  IV_JOB_TASK_DONE,    /**< completed */
+  IV_JOB_TASK_AWAY     /**< another cell runs it: see delegations.h */
 };
 
 /** Execution state of one task. */
@@ -32,6 +33,9 @@
   guint32 avoid_worker;     /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;      /**< no previous owner can have started it, nor learn that it ended */
   char *checkpoint;         /**< to resume from; NULL: start from the beginning */
+  guint
+      delegation_sent; /**< generation of a delegation record that has not been read yet; 0: none */
+  gint64 delegate_not_before_ms; /**< monotonic clock; it has just been returned */
 };
 
 /** Execution state of one step in one occurrence. */
@@ -41,6 +45,7 @@
   guint number;              /**< index of the step in the job */
   guint done;                /**< tasks in state IV_JOB_TASK_DONE */
   guint placed;              /**< tasks in state IV_JOB_TASK_PLACED */
+  guint away;                /**< tasks in state IV_JOB_TASK_AWAY */
   gboolean runs_known;       /**< no previous owner can have started any of its tasks */
   gint64 waiting_since_ms;   /**< since when some of its tasks could not be placed; 0: none is */
   gint64 next_wait_log_ms;   /**< when to log next that they wait */
@@ -59,11 +64,13 @@
   struct iv_stage *stages; /**< one per step */
 };
 
-/** Execution state of one job. Times are on the monotonic clock. */
+/** Execution state of one job, or of its tasks that were delegated to a cell. Times are on the
+ * monotonic clock. */
 struct iv_job_exec
 {
   struct iv_job_entry *job;
   struct iv_owner *owner; /**< of the cell that runs the job; a host may own several cells */
+  gint guest_cell;        /**< the cell that tasks of the job were delegated to; -1: its own */
   GPtrArray *open;        /**< of struct iv_occurrence, by ascending number */
   guint opened;           /**< occurrences opened so far */
   gboolean needs_record;  /**< progress has changed since it was last recorded */
@@ -85,6 +92,23 @@
 /** Create the execution state of @a job from its recorded progress and attach it to @a job. */
 struct iv_job_exec *iv_job_exec_new (struct iv_job_entry *job, gint64 now_ms);
 
+/** Create the execution state of the tasks of @a job that are delegated to @a cell. Nothing of it
+ * is recorded: their job is the concern of its own cell. */
+struct iv_job_exec *iv_job_exec_new_guest (struct iv_job_entry *job, gint cell, gint64 now_ms);
+
+/** Apply the delegations of the job: tasks that were delegated, or returned. @a now_ms is the
+ * present time. */
+void iv_job_exec_apply_delegations (struct iv_job_exec *exec, gint64 now_ms);
+
+/** The cell runs task @a task of @a stage no more: a delegation record of @a generation says so. */
+void iv_job_exec_give_away (struct iv_stage *stage, struct iv_job_task *task, guint generation);
+
+/** The record was not stored: the task is still run here. */
+void iv_job_exec_take_back (struct iv_stage *stage, struct iv_job_task *task);
+
+/** Number of tasks in state IV_JOB_TASK_AWAY. */
+guint iv_job_exec_away (const struct iv_job_exec *exec);
+
 /** Detach @a exec from its job and free it. */
 void iv_job_exec_free (struct iv_job_exec *exec);
 
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -24,6 +24,8 @@
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job->spec);
   xdr_free ((xdrproc_t)xdr_ivj_progress, (char *)&job->progress);
   xdr_free ((xdrproc_t)xdr_ivj_crashes, (char *)&job->crashes);
+  if (job->delegations)
+    g_array_unref (job->delegations);
   g_free (job);
 }
 
@@ -170,6 +172,15 @@
   return IV_OK;
 }
 
+static enum iv_status
+apply_delegation (struct iv_job_entry *job, const char *task, const guint8 *value, gsize len)
+{
+  char *text = g_strndup ((const char *)value, len);
+  enum iv_status status = iv_delegations_apply (&job->delegations, task, text);
+  g_free (text);
+  return status;
+}
+
 enum iv_status
 iv_job_table_apply (struct iv_job_table *table, const char *key, const guint8 *value, gsize len)
 {
@@ -197,6 +208,8 @@
     job->cancel = TRUE;
   else if (strcmp (suffix, IV_KEY_MOVE) == 0)
     status = apply_move (job, value, len);
+  else if (g_str_has_prefix (suffix, IV_KEY_DELEGATION))
+    status = apply_delegation (job, suffix + strlen (IV_KEY_DELEGATION), value, len);
   if (status == IV_OK && job->accepted && table->changed)
     table->changed (table->context, job);
   return status;
@@ -240,7 +253,7 @@
 iv_job_table_remove (struct iv_job_table *table, const char *id)
 {
   struct iv_job_entry *job = g_hash_table_lookup (table->jobs, id);
-  if (job && job->exec == NULL)
+  if (job && job->exec == NULL && job->guests == 0)
     g_hash_table_remove (table->jobs, id);
 }
 
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -2,12 +2,14 @@
  * @file job_table.h
  * Table of all accepted jobs, built by replaying the records of a keyed stream.
  *
- * A job has up to five keys:
+ * A job has these keys:
  * - its id: the specification, written by the host that accepted the job;
  * - its id with IV_KEY_PROGRESS: the progress, written only by the owner of its cell;
  * - its id with IV_KEY_CRASHES: crashes that its tasks are suspected of, written by that owner;
  * - its id with IV_KEY_CANCEL: written by the host that took the cancellation;
- * - its id with IV_KEY_MOVE: the new cell, written by the owner of the cell that the job leaves.
+ * - its id with IV_KEY_MOVE: the new cell, written by the owner of the cell that the job leaves;
+ * - its id with IV_KEY_DELEGATION and a task: which cell runs that task, written by the owner of
+ * the cell that the task leaves. See delegations.h.
  *
  * Each record holds the complete value of its key, so applying a record twice has no effect.
  */
@@ -16,6 +18,7 @@
 
 #include "batch.h"
 #include "jobs_xdr.h"
+#include "delegations.h"
 #include "task_name.h"
 
 #define IV_KEY_PROGRESS "+p"
@@ -47,6 +50,8 @@
   gint64 live_ended_ms;      /**< wall clock; when `live_state` became final */
   gboolean move_pending;     /**< sent to another cell; the move record is not applied yet */
   struct iv_job_exec *exec;  /**< execution state; NULL except at the owner */
+  GArray *delegations;       /**< of struct iv_delegation, as recorded; NULL: none */
+  guint guests; /**< execution states of tasks that cells owned by this host were delegated */
 };
 
 /** All jobs. */
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -231,6 +231,9 @@
     {
       struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
       enum iv_capacity_kind kind = IV_CAPACITY_BATCH;
+      /* Its delegated tasks would be those of a third cell. */
+      if (exec->guest_cell >= 0 || iv_job_exec_away (exec) > 0)
+        continue;
       if (exec->evacuate_to >= 0 && exec->placed == 0
           && exec->job->progress.state == exec->job->live_state
           && exec->crash_batch <= owner->stored_batch)
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -45,6 +45,7 @@
   owner->previous_until_ms = now_ms + limits->horizon_ms;
   owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->execs = g_ptr_array_new ();
+  owner->guests = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   owner->unrecorded = g_ptr_array_new ();
   owner->departures = g_array_new (FALSE, FALSE, sizeof (struct iv_departure));
   owner->wall_ms = wall_ms;
@@ -80,6 +81,7 @@
   while (owner->execs->len > 0)
     iv_job_exec_free (g_ptr_array_remove_index_fast (owner->execs, 0));
   g_ptr_array_free (owner->execs, TRUE);
+  g_hash_table_destroy (owner->guests);
   g_ptr_array_free (owner->unrecorded, TRUE);
   g_array_free (owner->departures, TRUE);
   g_free (owner);
@@ -95,7 +97,9 @@
 iv_owner_find_exec (struct iv_owner *owner, const struct iv_task_name *name)
 {
   struct iv_job_entry *job = iv_job_table_find (owner->jobs, name->job);
-  return job && job->exec && job->exec->owner == owner ? job->exec : NULL;
+  if (job && job->exec && job->exec->owner == owner)
+    return job->exec;
+  return g_hash_table_lookup (owner->guests, name->job);
 }
 
 void
@@ -211,8 +215,8 @@
   owner->needs_dispatch = TRUE;
 }
 
-static void
-set_objective (struct iv_owner *owner, struct iv_job_exec *exec)
+void
+iv_owner_set_objective (struct iv_owner *owner, struct iv_job_exec *exec)
 {
   const ivj_job *spec = &exec->job->spec;
   struct iv_queue_policy policy;
@@ -228,15 +232,17 @@
   exec->zero_utility_ms = start + 3 * span;
 }
 
-/* Drops @a exec: its job belongs to another cell now. */
-static void
-withdraw (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
+void
+iv_owner_withdraw (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
 {
   iv_event (IV_LEVEL_WARNING, "job.withdrawn", "job=%s placed=%u", exec->job->id, exec->placed);
   if (exec->placed > 0)
     iv_owner_stop_job (owner, exec->job, now_ms);
   g_ptr_array_remove_fast (owner->execs, exec);
-  g_ptr_array_remove_fast (owner->unrecorded, exec->job);
+  if (exec->guest_cell >= 0)
+    g_hash_table_remove (owner->guests, exec->job->id);
+  else
+    g_ptr_array_remove_fast (owner->unrecorded, exec->job);
   iv_job_exec_free (exec);
 }
 
@@ -249,12 +255,15 @@
   if (!owner->effects.owns_job (owner->effects.context, job))
     {
       if (exec && exec->owner == owner)
-        withdraw (owner, exec, now_ms);
+        iv_owner_withdraw (owner, exec, now_ms);
+      iv_owner_guests_changed (owner, job, now_ms);
       return;
     }
+  if (g_hash_table_lookup (owner->guests, job->id))
+    iv_owner_withdraw (owner, g_hash_table_lookup (owner->guests, job->id), now_ms);
   if (exec && exec->owner != owner)
     {
-      withdraw (exec->owner, exec, now_ms);
+      iv_owner_withdraw (exec->owner, exec, now_ms);
       exec = NULL;
     }
   if (exec == NULL)
@@ -265,11 +274,13 @@
       exec->owner = owner;
       exec->inherited = owner->loading_jobs;
       g_ptr_array_add (owner->execs, exec);
-      set_objective (owner, exec);
+      iv_owner_set_objective (owner, exec);
       owner->needs_dispatch = TRUE;
       if (!job->cancel && iv_owner_balance_long_running (owner, exec))
         return;
     }
+  iv_job_exec_apply_delegations (exec, now_ms);
+  owner->needs_dispatch |= job->delegations != NULL;
   if (job->cancel)
     iv_owner_end_job (owner, exec, IVJ_CANCELLED, now_ms);
 }
@@ -497,7 +508,10 @@
   if (owner->start_window_ms >= IV_MIN_START_WINDOW_MS && owner->workers_loaded)
     iv_owner_dispatch (owner, now_ms);
   if (authority->confirmed)
-    iv_owner_move_jobs (owner, now_ms);
+    {
+      iv_owner_delegate_tasks (owner, now_ms);
+      iv_owner_move_jobs (owner, now_ms);
+    }
   tick_workers (owner, authority->confirmed, now_ms);
   iv_owner_log_load (owner, now_ms);
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -140,6 +140,7 @@
 struct iv_owner_effects
 {
   void *context; /**< first argument of every callback */
+  gint cell;     /**< number of the cell */
   void (*start) (void *context, const struct iv_fleet_worker *worker,
                  const struct iv_start_command *command);
   /** How many starts may be sent now. The others wait in the order of the queue. */
@@ -168,6 +169,12 @@
   gint (*find_move_target) (void *context, gint64 cpu_milli, enum iv_capacity_kind kind);
   /** Number of tasks with need @a need that the largest pieces of other cells hold. */
   guint (*count_elsewhere) (void *context, const struct iv_piece *need);
+  /** A cell that could hold a task with need @a need in one of its pieces; -1: none. The piece
+   *  counts as used until the next record of that cell. */
+  gint (*find_delegate) (void *context, const struct iv_piece *need);
+  /** Record which cell runs a task of @a job from now on. */
+  void (*record_delegation) (void *context, const struct iv_job_entry *job,
+                             const struct iv_delegation *delegation);
   /** Record that @a cell serves @a job from now on. */
   void (*move_job) (void *context, const struct iv_job_entry *job, guint cell);
 };
@@ -225,6 +232,11 @@
 /** The move of @a job could not be recorded: the job stays in this cell. */
 void iv_owner_move_failed (struct iv_owner *owner, struct iv_job_entry *job, gint64 now_ms);
 
+/** The delegation record @a delegation of @a job could not be stored: the task stays in this cell.
+ */
+void iv_owner_delegation_failed (struct iv_owner *owner, struct iv_job_entry *job,
+                                 const struct iv_delegation *delegation);
+
 /** A record of @a job was applied. */
 void iv_owner_job_changed (struct iv_owner *owner, struct iv_job_entry *job, gint64 now_ms);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -71,6 +71,7 @@
   gint64 next_dispatch_ms;        /**< dispatch then even if nothing changed */
   guint start_credit;             /**< starts that may still be sent in this dispatch */
   gint64 next_moves_ms;           /**< when to look for jobs to move next */
+  gint64 next_delegate_ms;        /**< when to look for tasks to delegate or return next */
   gint64 mean_long_running_milli; /**< mean size of long-running tasks, cores in thousandths */
   GArray *departures;             /**< of struct iv_departure, by time */
   gint64 next_drain_ms;           /**< when to look for tasks on draining workers next */
@@ -78,6 +79,7 @@
   struct iv_advice_query advice_query;
   gint64 next_advice_ms; /**< no advice query before */
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
+  GHashTable *guests;    /**< from job id to those of them whose tasks are delegated here */
   GPtrArray *unrecorded; /**< of struct iv_job_entry: progress to be recorded */
   gboolean hopeless;     /**< a job is to be given up in the next tick */
   guint64 crash_batch;   /**< collection that records the newest crash */
@@ -195,6 +197,26 @@
  *  was moved. */
 gboolean iv_owner_balance_long_running (struct iv_owner *owner, struct iv_job_exec *exec);
 
+/** Follow the delegations of @a job, which belongs to another cell: run the tasks that are
+ * delegated to this one. delegate.c. */
+void iv_owner_guests_changed (struct iv_owner *owner, struct iv_job_entry *job, gint64 now_ms);
+
+/** Delegate tasks that no worker of the cell can hold to cells that can, and return delegated tasks
+ * that find no worker: delegate.c. */
+void iv_owner_delegate_tasks (struct iv_owner *owner, gint64 now_ms);
+
+/** Drop @a exec and stop its runs: its tasks belong to another cell. */
+void iv_owner_withdraw (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms);
+
+/** Set the time by which the job of @a exec earns its full value. */
+void iv_owner_set_objective (struct iv_owner *owner, struct iv_job_exec *exec);
+
+/** Whether @a task may be started as far as its earlier runs go: it waits, and no run of it can
+ *  exist. dispatch.c. */
+gboolean iv_dispatch_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                                const struct iv_stage *stage, const struct iv_job_task *task,
+                                gint64 now_ms);
+
 /** Start every task that can start: dispatch.c. */
 void iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/pieces.h
+++ b/jobs/pieces.h
@@ -20,8 +20,8 @@
 /** Number of tasks with need @a need that @a pieces (struct iv_piece) hold. */
 guint iv_pieces_count (const GArray *pieces, const struct iv_piece *need);
 
-/** Take @a need from the piece of @a pieces that has the fewest cores among those that hold it. FALSE
- *  when none does. */
+/** Take @a need from the piece of @a pieces that has the fewest cores among those that hold it.
+ * FALSE when none does. */
 gboolean iv_pieces_take (GArray *pieces, const struct iv_piece *need);
 
 /** Keep the @a max pieces of @a pieces with the most cores, in descending order. */
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -26,7 +26,7 @@
 add_stage (struct demand *demand, const struct iv_occurrence *occurrence,
            const struct iv_stage *stage)
 {
-  guint unfinished = stage->step->count - stage->done;
+  guint unfinished = stage->step->count - stage->done - stage->away;
   if (stage->step->flags & IVJ_BEST_EFFORT)
     return;
   if (stage->step->flags & IVJ_LONG_RUNNING)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -160,6 +160,22 @@
   sim->roster = bytes;
 }
 
+static void
+read_delegations (struct sim *sim)
+{
+  for (guint i = 0; i < sim->delegation_keys->len; i++)
+    {
+      const char *key = g_ptr_array_index (sim->delegation_keys, i);
+      const char *value = g_ptr_array_index (sim->delegation_values, i);
+      char id[IV_JOB_ID_LEN + 1];
+      g_strlcpy (id, key, sizeof id);
+      iv_job_table_apply (sim->job_table, key, (const guint8 *)value, strlen (value));
+      iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, id), sim->now_ms);
+    }
+  g_ptr_array_set_size (sim->delegation_keys, 0);
+  g_ptr_array_set_size (sim->delegation_values, 0);
+}
+
 void
 sim_advance (struct sim *sim, gint64 ms)
 {
@@ -175,6 +191,7 @@
       if (sim->owner)
         {
           read_entries (sim);
+          read_delegations (sim);
           iv_owner_tick (sim->owner, &authority, sim->now_ms, sim->wall_ms);
           store_progress (sim);
           store_roster (sim);
@@ -202,6 +219,8 @@
   sim->job_table = iv_job_table_new ();
   sim->calls = g_ptr_array_new ();
   sim->advice_worker_ids = g_ptr_array_new_with_free_func (g_free);
+  sim->delegation_keys = g_ptr_array_new_with_free_func (g_free);
+  sim->delegation_values = g_ptr_array_new_with_free_func (g_free);
   sim->ticket_valid_ms = 1000;
   sim->now_ms = 1000;
   sim->wall_ms = 1000000;
@@ -248,6 +267,8 @@
     sim_call_free (g_ptr_array_index (sim->calls, i));
   g_ptr_array_free (sim->calls, TRUE);
   g_ptr_array_free (sim->advice_worker_ids, TRUE);
+  g_ptr_array_free (sim->delegation_keys, TRUE);
+  g_ptr_array_free (sim->delegation_values, TRUE);
   for (guint i = 0; i < sim->count; i++)
     {
       g_array_free (sim->workers[i].runs, TRUE);
@@ -298,7 +319,7 @@
 static gboolean
 on_owns_job (void *context, const struct iv_job_entry *job)
 {
-  return job->moved_to < 0;
+  return job->moved_to < 0 && !((const struct sim *)context)->is_delegate;
 }
 
 static gint
@@ -320,6 +341,29 @@
   return (guint)(sim->other_cell_milli / MAX (need->cpu_milli, 1));
 }
 
+static gint
+on_find_delegate (void *context, const struct iv_piece *need)
+{
+  struct sim *sim = context;
+  if (sim->delegate_milli < need->cpu_milli)
+    return -1;
+  sim->delegate_milli -= need->cpu_milli;
+  return SIM_OTHER_CELL;
+}
+
+static void
+on_record_delegation (void *context, const struct iv_job_entry *job,
+                      const struct iv_delegation *delegation)
+{
+  struct sim *sim = context;
+  sim->delegation_calls++;
+  sim->last_delegation = *delegation;
+  if (sim->defer_delegations)
+    return;
+  g_ptr_array_add (sim->delegation_keys, iv_delegation_format_key (job->id, delegation));
+  g_ptr_array_add (sim->delegation_values, iv_delegation_format_value (delegation));
+}
+
 static void
 on_move_job (void *context, const struct iv_job_entry *job, guint cell)
 {
@@ -345,7 +389,10 @@
                                       .queue = on_queue,
                                       .is_domain_in_service = on_is_domain_in_service,
                                       .owns_job = on_owns_job,
+                                      .cell = sim->is_delegate ? SIM_OTHER_CELL : 0,
                                       .find_move_target = on_find_move_target,
+                                      .find_delegate = on_find_delegate,
+                                      .record_delegation = on_record_delegation,
                                       .count_elsewhere = on_count_elsewhere,
                                       .move_job = on_move_job };
   iv_owner_free (sim->owner);
@@ -370,6 +417,14 @@
     iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, id), sim->now_ms);
 }
 
+void
+sim_apply_delegation (struct sim *sim, const char *id, const struct iv_delegation *delegation)
+{
+  g_ptr_array_add (sim->delegation_keys, iv_delegation_format_key (id, delegation));
+  g_ptr_array_add (sim->delegation_values, iv_delegation_format_value (delegation));
+  read_delegations (sim);
+}
+
 void
 sim_forget_job (struct sim *sim, const char *id)
 {
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -14,6 +14,7 @@
 #define SIM_LEASE_MAX_MS 10000 /**< a worker shortens a longer lease to this */
 #define SIM_DEADLY_MAX 8
 #define SIM_ADDRESS "127.0.0.1:1" /**< of every worker at first: its id tells it apart */
+#define SIM_OTHER_CELL 1          /**< number of the cell that tasks are delegated to */
 #define SIM_DOWN_MS 3000          /**< a worker that crashed is back after this */
 
 /** A run on a simulated worker. */
@@ -99,10 +100,17 @@
   gint64 other_cell_milli;       /**< free capacity of another cell... */
   gint64 other_cell_small_milli; /**< ...of which this is in pieces of the mean size... */
   gint64 other_cell_spare_milli; /**< ...of which this is kept from new long-running jobs */
-  guint move_calls;              /**< jobs that the owner moved to another cell */
-  gboolean defer_moves;          /**< moves are accepted, but their records are not read */
-  gboolean advised;              /**< starts need a ticket; workers with odd numbers get one */
-  gint64 ticket_valid_ms;        /**< validity of a ticket */
+  gint64 delegate_milli;         /**< cores of another cell for single tasks */
+  gboolean is_delegate;          /**< the owner has that cell, and the jobs are those of cell 0 */
+  guint delegation_calls;        /**< delegation records of the owner */
+  struct iv_delegation last_delegation; /**< the newest of them */
+  GPtrArray *delegation_keys;           /**< of char *: those that the owner has not read yet */
+  GPtrArray *delegation_values;         /**< of char *: their values */
+  gboolean defer_delegations;           /**< they are accepted, but not read */
+  guint move_calls;                     /**< jobs that the owner moved to another cell */
+  gboolean defer_moves;                 /**< moves are accepted, but their records are not read */
+  gboolean advised;             /**< starts need a ticket; workers with odd numbers get one */
+  gint64 ticket_valid_ms;       /**< validity of a ticket */
   gint64 advice_reply_ms;       /**< when the outstanding advice query gets its reply; 0: none is */
   GPtrArray *advice_worker_ids; /**< of char *: worker ids in that query */
   guint advice_queries;
@@ -151,6 +159,9 @@
 /** Submit a job with @a spec as @a id; @a spec stays owned by the caller. */
 void sim_submit (struct sim *sim, const char *id, const ivj_job *spec);
 
+/** The owner reads a delegation record of job @a id. */
+void sim_apply_delegation (struct sim *sim, const char *id, const struct iv_delegation *delegation);
+
 /** The record of the job @a id expired: it leaves the job table. */
 void sim_forget_job (struct sim *sim, const char *id);
 
--- a/jobs/tests/pieces_test.c
+++ b/jobs/tests/pieces_test.c
@@ -23,9 +23,8 @@
   {
     struct iv_piece need;
     guint count;
-  } cases[] = { { { 3000, 10 }, 4 }, { { 3000, 60 }, 2 },   { { 3000, 101 }, 0 },
-                { { 9001, 1 }, 0 },  { { 2000, 0 }, 7 },    { { 0, 100 }, 11 },
-                { { 2000, 300 }, 1 } };
+  } cases[] = { { { 3000, 10 }, 4 }, { { 3000, 60 }, 2 }, { { 3000, 101 }, 0 }, { { 9001, 1 }, 0 },
+                { { 2000, 0 }, 7 },  { { 0, 100 }, 11 },  { { 2000, 300 }, 1 } };
   GArray *pieces = make_pieces (rows, G_N_ELEMENTS (rows));
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     assert_int_equal (iv_pieces_count (pieces, &cases[i].need), cases[i].count);
