--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -190,6 +190,8 @@
 find_delegate (void *context, const struct iv_piece *need)
 {
   struct iv_cell_task *task = context;
+  if (!task->deps.settings->delegate)
+    return -1;
   return task->deps.find_delegate (task->deps.context, task->cell, need);
 }
 
