--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -122,6 +122,8 @@
     return;
   g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
   iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
+  if (sim->record)
+    sim->record (sim, key, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
 }
 
@@ -160,17 +162,26 @@
   sim->roster = bytes;
 }
 
+void
+sim_apply_record (struct sim *sim, const char *key, const guint8 *value, gsize len)
+{
+  char id[IV_JOB_ID_LEN + 1];
+  struct iv_job_entry *job;
+  g_strlcpy (id, key, sizeof id);
+  iv_job_table_apply (sim->job_table, key, value, len);
+  job = iv_job_table_find (sim->job_table, id);
+  if (sim->owner && job)
+    iv_owner_job_changed (sim->owner, job, sim->now_ms);
+}
+
 static void
 read_delegations (struct sim *sim)
 {
   for (guint i = 0; i < sim->delegation_keys->len; i++)
     {
-      const char *key = g_ptr_array_index (sim->delegation_keys, i);
       const char *value = g_ptr_array_index (sim->delegation_values, i);
-      char id[IV_JOB_ID_LEN + 1];
-      g_strlcpy (id, key, sizeof id);
-      iv_job_table_apply (sim->job_table, key, (const guint8 *)value, strlen (value));
-      iv_owner_job_changed (sim->owner, iv_job_table_find (sim->job_table, id), sim->now_ms);
+      sim_apply_record (sim, g_ptr_array_index (sim->delegation_keys, i), (const guint8 *)value,
+                        strlen (value));
     }
   g_ptr_array_set_size (sim->delegation_keys, 0);
   g_ptr_array_set_size (sim->delegation_values, 0);
@@ -356,12 +367,22 @@
                       const struct iv_delegation *delegation)
 {
   struct sim *sim = context;
+  char *key, *value;
   sim->delegation_calls++;
   sim->last_delegation = *delegation;
   if (sim->defer_delegations)
     return;
-  g_ptr_array_add (sim->delegation_keys, iv_delegation_format_key (job->id, delegation));
-  g_ptr_array_add (sim->delegation_values, iv_delegation_format_value (delegation));
+  key = iv_delegation_format_key (job->id, delegation);
+  value = iv_delegation_format_value (delegation);
+  if (sim->record)
+    {
+      sim->record (sim, key, (const guint8 *)value, strlen (value));
+      g_free (key);
+      g_free (value);
+      return;
+    }
+  g_ptr_array_add (sim->delegation_keys, key);
+  g_ptr_array_add (sim->delegation_values, value);
 }
 
 static void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -107,8 +107,12 @@
   GPtrArray *delegation_keys;           /**< of char *: those that the owner has not read yet */
   GPtrArray *delegation_values;         /**< of char *: their values */
   gboolean defer_delegations;           /**< they are accepted, but not read */
-  guint move_calls;                     /**< jobs that the owner moved to another cell */
-  gboolean defer_moves;                 /**< moves are accepted, but their records are not read */
+  /** Gets the delegation records of the owner, which it does not read by itself then, and copies of
+   *  its other records of jobs; NULL: none. */
+  void (*record) (struct sim *sim, const char *key, const guint8 *value, gsize len);
+  void *record_context;         /**< of that function */
+  guint move_calls;             /**< jobs that the owner moved to another cell */
+  gboolean defer_moves;         /**< moves are accepted, but their records are not read */
   gboolean advised;             /**< starts need a ticket; workers with odd numbers get one */
   gint64 ticket_valid_ms;       /**< validity of a ticket */
   gint64 advice_reply_ms;       /**< when the outstanding advice query gets its reply; 0: none is */
@@ -162,6 +166,9 @@
 /** The owner reads a delegation record of job @a id. */
 void sim_apply_delegation (struct sim *sim, const char *id, const struct iv_delegation *delegation);
 
+/** The cell, and its owner if it has one, reads a record of a job. */
+void sim_apply_record (struct sim *sim, const char *key, const guint8 *value, gsize len);
+
 /** The record of the job @a id expired: it leaves the job table. */
 void sim_forget_job (struct sim *sim, const char *id);
 
