Let only workers that are gone for good excuse a task

Only workers that left the list, are silent and were not replaced count now, and some must have survived.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -103,13 +103,19 @@
          && other->instance_alive_since_ms <= alive_ms && other->alive_ms > alive_ms + TOGETHER_MS;
 }
 
-/* Whether nothing new is on @a worker, or was when its instance ended that ended last. */
+/* Whether @a other went at about the same time, and neither it nor another instance has come back:
+   one that crashed because of a task does. */
 static gboolean
-had_nothing_new (const struct iv_fleet_worker *worker)
+is_gone_with (const struct iv_fleet_worker *other, gint64 alive_ms)
 {
-  if (worker->failures > 0 || worker->ended_alive_ms == 0)
-    return !worker->lapsed_unproven && count_unproven (worker) == 0;
-  return !worker->ended_unproven;
+  return other->failures > 0 && !other->listed && !other->replaced && ended_with (other, alive_ms);
+}
+
+/* Whether nothing new is on @a worker, or was before its leases ended. */
+static gboolean
+has_nothing_new (const struct iv_fleet_worker *worker)
+{
+  return !worker->lapsed_unproven && count_unproven (worker) == 0;
 }
 
 /* Workers that went at about the same time as one of them, and those that did not. */
@@ -117,24 +123,14 @@
 {
   guint ended;
   guint survived;
-  guint ended_clean;    /* those of them on which nothing was new... */
-  guint survived_clean; /* ...or is */
 };
 
 static void
 count_neighbour (struct neighbours *neighbours, const struct iv_fleet_worker *other,
                  gint64 alive_ms)
 {
-  if (ended_with (other, alive_ms))
-    {
-      neighbours->ended++;
-      neighbours->ended_clean += had_nothing_new (other);
-    }
-  else if (survived (other, alive_ms))
-    {
-      neighbours->survived++;
-      neighbours->survived_clean += count_unproven (other) == 0;
-    }
+  neighbours->ended += ended_with (other, alive_ms);
+  neighbours->survived += survived (other, alive_ms);
 }
 
 static gboolean
@@ -143,15 +139,40 @@
   return neighbours->ended >= TOGETHER_MIN && neighbours->ended >= 2 * neighbours->survived;
 }
 
-/* Whether workers on which nothing was new went as well, and are about as many among those that
-   went as among the others: then it was not the new runs that made the difference. */
+/* Workers that are gone for good since about the same time, and those that survived; of each, those
+   on which nothing was new. */
+struct losses
+{
+  guint gone;
+  guint gone_clean;
+  guint survived;
+  guint survived_clean;
+};
+
+static void
+count_loss (struct losses *losses, const struct iv_fleet_worker *other, gint64 alive_ms)
+{
+  if (is_gone_with (other, alive_ms))
+    {
+      losses->gone++;
+      losses->gone_clean += has_nothing_new (other);
+    }
+  else if (survived (other, alive_ms))
+    {
+      losses->survived++;
+      losses->survived_clean += has_nothing_new (other);
+    }
+}
+
+/* Whether the new runs made no difference to which workers are gone: among these, workers on which
+   nothing was new are at least half as frequent as among the others. With 60 of 100 survivors
+   clean, 30 of 100 gone ones suffice; were new runs to blame, there would be none. */
 static gboolean
-went_at_random (const struct neighbours *neighbours)
+went_at_random (const struct losses *losses)
 {
-  guint64 ended = neighbours->ended + 1; /* the worker in question has new runs */
-  return neighbours->ended_clean >= TOGETHER_MIN
-         && 2 * (guint64)neighbours->ended_clean * neighbours->survived
-                >= neighbours->survived_clean * ended;
+  guint64 gone = losses->gone + 1; /* the worker in question has new runs */
+  return losses->gone_clean >= TOGETHER_MIN && losses->survived > 0
+         && 2 * (guint64)losses->gone_clean * losses->survived >= losses->survived_clean * gone;
 }
 
 /* The cause of an end that is not to be looked for among the runs; NULL: there is none. */
@@ -160,7 +181,7 @@
 {
   struct neighbours rack = { 0 };
   struct neighbours domain = { 0 };
-  struct neighbours cell = { 0 };
+  struct losses losses = { 0 };
   GHashTableIter iter;
   gpointer value;
   if (worker->draining || worker->left_in_order)
@@ -171,7 +192,7 @@
       const struct iv_fleet_worker *other = value;
       if (other == worker)
         continue;
-      count_neighbour (&cell, other, worker->alive_ms);
+      count_loss (&losses, other, worker->alive_ms);
       if (g_strcmp0 (other->rack, worker->rack) == 0)
         count_neighbour (&rack, other, worker->alive_ms);
       if (g_strcmp0 (other->domain, worker->domain) == 0)
@@ -181,7 +202,7 @@
     return "rack";
   if (have_common_cause (&domain))
     return "domain";
-  return went_at_random (&cell) ? "random" : NULL;
+  return is_gone_with (worker, worker->alive_ms) && went_at_random (&losses) ? "random" : NULL;
 }
 
 static void
@@ -414,7 +435,6 @@
   if (cause == NULL)
     accuse_unproven (owner, worker, evidence);
   worker->ended_alive_ms = worker->alive_ms;
-  worker->ended_unproven = count_unproven (worker) > 0;
   worker->left_in_order = FALSE;
 }
 
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -119,7 +119,6 @@
   guint batch_tasks;        /**< tasks that end by themselves and are not best-effort */
   gint64 alive_ms;          /**< when its newest reply came; kept when it restarts */
   gint64 ended_alive_ms;    /**< `alive_ms` of the instance that ended last; 0: none has */
-  gboolean ended_unproven;  /**< that instance had runs that were not proven */
   gboolean lapsed_unproven; /**< runs that were not proven lapsed since it was last heard */
   gint64 instance_alive_since_ms;    /**< first reply of its present instance; 0: none yet */
   gboolean replaced;                 /**< another instance has answered at its address */
--- a/jobs/tests/crash_test.c
+++ b/jobs/tests/crash_test.c
@@ -375,6 +375,44 @@
     }
 }
 
+/* Guards against deadly tasks that excuse each other: workers that crashed and were replaced have
+   no runs left, but went because of new ones. */
+static void
+test_workers_that_were_replaced_excuse_nobody (void **state)
+{
+  static const guint large[] = { 0, 3, 4, 7 };
+  struct sim *sim = sim_new (8);
+  for (guint i = 0; i < sim->count; i++)
+    sim->workers[i].capacity_milli = 1000;
+  sim_start_owner (sim);
+  sim_advance (sim, 500);
+  sim_make_job (8, 0);
+  sim_steps[0].cpu_milli = 1000;
+  sim_steps[0].flags = IVJ_LONG_RUNNING;
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 3000);
+  assert_int_equal (sim_job_runs (sim, OTHER_JOB_ID), 8);
+  for (guint i = 0; i < G_N_ELEMENTS (large); i++)
+    sim->workers[large[i]].capacity_milli = 3000;
+  sim_list_workers (sim);
+  sim_make_job (4, 0);
+  sim_steps[0].per_worker_max = 1;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 200);
+  assert_int_equal (sim_job_runs (sim, JOB_ID), 4);
+  for (guint i = 0; i < G_N_ELEMENTS (large); i++)
+    sim->workers[large[i]].unreachable = TRUE;
+  sim_advance (sim, 1000);
+  for (guint i = 0; i < G_N_ELEMENTS (large); i++)
+    {
+      sim->workers[large[i]].unreachable = FALSE;
+      sim->workers[large[i]].replaced = TRUE;
+    }
+  sim_advance (sim, 2500);
+  assert_int_equal (iv_job_table_find (sim->job_table, JOB_ID)->crashes.tasks.tasks_len, 4);
+  sim_free (sim);
+}
+
 /* Guards against long-running tasks under suspicion, after a worker went just when its cell had a
    new owner: to it, all runs there looked as if they had just been started. */
 static void
@@ -544,6 +582,7 @@
     cmocka_unit_test (test_loss_of_a_rack_accuses_nobody),
     cmocka_unit_test (test_loss_of_a_domain_accuses_nobody),
     cmocka_unit_test (test_loss_of_workers_of_all_racks_accuses_nobody),
+    cmocka_unit_test (test_workers_that_were_replaced_excuse_nobody),
     cmocka_unit_test (test_runs_of_a_previous_owner_are_not_new),
     cmocka_unit_test (test_silence_is_no_crash),
     cmocka_unit_test (test_start_that_never_arrived_is_no_crash),
