Give no run number twice to a task that comes back to a cell

An owner that got a task again after it had returned it, or a job that had moved away and back, counted its runs from the beginning under the same term. A run of the earlier stay that a worker carried out late then passed for the present one, and both went on (review; shown on the simulated cell). Runs have higher numbers than all that this host used for the job before.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -84,6 +84,7 @@
   task->state = IV_JOB_TASK_PLACED;
   task->run = number;
   task->placed_run = number;
+  exec->job->highest_run = MAX (exec->job->highest_run, number);
   iv_reserve_release (owner->fleet, task);
   stage->placed++;
   exec->placed++;
@@ -108,9 +109,9 @@
 }
 
 static gint64
-next_run_number (const struct iv_owner *owner, gint64 highest)
+next_run_number (const struct iv_owner *owner, const struct iv_job_exec *exec, gint64 highest)
 {
-  return MAX (highest, owner->run_base) + 1;
+  return MAX (highest, MAX (owner->run_base, exec->run_floor)) + 1;
 }
 
 /* What is known of the workers for a stage while its tasks are dispatched: all tasks of a stage
@@ -165,7 +166,7 @@
         continue;
       name->index = i;
       start_task (owner, query, exec, stage, task, name, worker,
-                  next_run_number (owner, task->run));
+                  next_run_number (owner, exec, task->run));
     }
   if (search.reserved == IV_RESERVE_IMPOSSIBLE)
     exec->unholdable_ms = now_ms;
@@ -223,7 +224,7 @@
           checkpoint = copy;
         }
       start_task (owner, query, exec, stage, task, name, chosen[i],
-                  next_run_number (owner, highest));
+                  next_run_number (owner, exec, highest));
     }
   g_free (chosen);
 }
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -167,6 +167,7 @@
   exec->first_seen_ms = now_ms;
   exec->last_placed_ms = now_ms;
   exec->evacuate_to = -1;
+  exec->run_floor = job->highest_run;
   for (guint i = 0; i < job->progress.open.open_len; i++)
     load_occurrence (exec, &job->progress.open.open_val[i]);
   return exec;
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -80,6 +80,9 @@
   gboolean hopeless;      /**< a task of it is to blame for crashes */
   guint64 crash_batch;    /**< collection that records the newest crash; suspects wait for it */
   guint placed;           /**< tasks that run or may run */
+  /** Runs have higher numbers: up to it they may have been used when the cell had the job, or its
+   *  task, before. */
+  gint64 run_floor;
   gint64 unplaced_since_ms; /**< since when long-running tasks lack a worker; 0: all have one */
   gint64 unholdable_ms;     /**< when no worker could last hold one of its long-running tasks */
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -51,6 +51,7 @@
   gboolean move_pending;     /**< sent to another cell; the move record is not applied yet */
   struct iv_job_exec *exec;  /**< execution state; NULL except at the owner */
   GArray *delegations;       /**< of struct iv_delegation, as recorded; NULL: none */
+  gint64 highest_run;        /**< that an owner of this host has used for any of its tasks */
   guint guests; /**< execution states of tasks that cells owned by this host were delegated */
 };
 
--- a/jobs/tests/delegate_test.c
+++ b/jobs/tests/delegate_test.c
@@ -323,6 +323,60 @@
   sim_free (sim);
 }
 
+static gint64
+run_number (const struct sim *sim, guint worker)
+{
+  assert_int_equal (sim->workers[worker].runs->len, 1);
+  return g_array_index (sim->workers[worker].runs, struct sim_run, 0).number;
+}
+
+/* A cell of two workers that ran a delegated task on the first, lost it, returned the task, got it
+   again and runs it on the second. @a first: the run on the first worker. */
+static struct sim *
+start_again_after_return (struct sim_run *first)
+{
+  struct sim *sim = start_delegate (2);
+  guint before;
+  sim->workers[1].capacity_milli = 1000;
+  sim_list_worker (sim, 1);
+  apply_delegation (sim, 0, 1, SIM_OTHER_CELL);
+  sim_advance (sim, PROVEN_MS);
+  run_number (sim, 0);
+  *first = g_array_index (sim->workers[0].runs, struct sim_run, 0);
+  sim->workers[0].unreachable = TRUE;
+  for (guint i = 0; i < 1000 && sim->delegation_calls == 0; i++)
+    sim_advance (sim, 10);
+  assert_int_equal (sim->last_delegation.cell, -1);
+  sim_advance (sim, 8000);
+  assert_int_equal (sim_total_runs (sim), 0);
+  before = sim->start_calls;
+  sim->workers[1].capacity_milli = 4000;
+  sim_list_worker (sim, 1);
+  apply_delegation (sim, 0, 3, SIM_OTHER_CELL);
+  sim_advance (sim, PROVEN_MS);
+  assert_int_equal (sim->start_calls, before + 1);
+  return sim;
+}
+
+/* Guards against a run of a task's earlier stay, carried out late, that passes for the present one,
+   as both have one number. */
+static void
+test_late_run_of_an_earlier_stay_is_stopped (void **state)
+{
+  struct sim_run first;
+  struct sim *sim = start_again_after_return (&first);
+  assert_true (run_number (sim, 1) > first.number);
+  sim->workers[0].unreachable = FALSE;
+  sim_advance (sim, 50);
+  first.stop_clock_ms = 0;
+  g_array_append_val (sim->workers[0].runs, first);
+  sim->workers[0].lease_end_clock_ms = sim->workers[0].clock + SIM_LEASE_MAX_MS;
+  sim_list_worker (sim, 0);
+  sim_advance (sim, 5000);
+  assert_int_equal (sim_total_runs (sim), 1);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -338,6 +392,7 @@
     cmocka_unit_test (test_cancelled_job_stops_at_the_borrower),
     cmocka_unit_test (test_borrower_returns_what_it_cannot_place),
     cmocka_unit_test (test_tasks_count_in_the_cell_that_runs_them),
+    cmocka_unit_test (test_late_run_of_an_earlier_stay_is_stopped),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
