--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -251,8 +251,13 @@
   struct delegation_record *record = context;
   struct iv_cell_task *task = record->task;
   struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, record->id);
-  if (status == IV_ERR_UNAVAILABLE && job && task->owner && task->term == record->term)
-    iv_owner_delegation_failed (task->owner, job, &record->delegation);
+  if (task->owner && task->term == record->term)
+    {
+      if (status == IV_ERR_STALE)
+        iv_cell_task_end_ownership (task, "fenced_in_stream");
+      else if (status == IV_ERR_UNAVAILABLE && job)
+        iv_owner_delegation_failed (task->owner, job, &record->delegation);
+    }
   g_free (record);
 }
 
--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -221,6 +221,9 @@
 static void
 record_crash (struct iv_owner *owner, struct iv_job_exec *exec)
 {
+  /* A task that was delegated starts no more here: its own cell counts when it gets it back. */
+  if (exec->guest_cell >= 0)
+    return;
   exec->has_crashes = TRUE;
   exec->crash_batch = owner->batch + 1;
   owner->crash_batch = exec->crash_batch;
@@ -240,7 +243,7 @@
 judge (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_job_task *task,
        const struct iv_task_name *name, gboolean alone)
 {
-  if (!is_to_blame (task, alone) || exec->hopeless)
+  if (!is_to_blame (task, alone) || exec->hopeless || exec->guest_cell >= 0)
     return;
   exec->hopeless = TRUE;
   owner->hopeless = TRUE;
@@ -260,8 +263,7 @@
   struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, NULL) : NULL;
   run->accused = TRUE;
-  /* Only its own cell records the crashes of a task; a task under suspicion is not delegated. */
-  if (task == NULL || task->state == IV_JOB_TASK_DONE || exec->guest_cell >= 0)
+  if (task == NULL || task->state == IV_JOB_TASK_DONE)
     return;
   task->start_announced = FALSE;
   task->crashes++;
@@ -341,6 +343,15 @@
     }
 }
 
+void
+iv_crash_record_returned (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  if (!exec->crashes_returned)
+    return;
+  exec->crashes_returned = FALSE;
+  record_crash (owner, exec);
+}
+
 void
 iv_crash_give_up (struct iv_owner *owner, gint64 now_ms)
 {
@@ -359,7 +370,8 @@
 iv_crash_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
                     const struct iv_job_task *task)
 {
-  return task->crashes == 0 || (!exec->hopeless && owner->stored_batch >= exec->crash_batch);
+  return task->crashes == 0
+         || (!exec->hopeless && exec->guest_cell < 0 && owner->stored_batch >= exec->crash_batch);
 }
 
 gboolean
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -54,6 +54,9 @@
  * that none of them is of, is taken to have crashed its worker unseen. */
 void iv_crash_previous_runs_known (struct iv_owner *owner);
 
+/** Record the crashes with which tasks of @a exec were returned by other cells. */
+void iv_crash_record_returned (struct iv_owner *owner, struct iv_job_exec *exec);
+
 /** End the jobs with a task that is to blame for crashes as failed. */
 void iv_crash_give_up (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/delegate.c
+++ b/jobs/delegate.c
@@ -6,8 +6,7 @@
 #define DELEGATE_INTERVAL_MS 100
 /* A worker may become free for a task soon after it began to wait. */
 #define DELEGATE_AFTER_MS 500
-/* A reserved worker becomes free within this time, as batch tasks are short. */
-#define RETURN_AFTER_MS 1500
+#define RETURN_AFTER_MS 1500      /* a reserved worker becomes free within this time */
 #define UNHOLDABLE_MAX_AGE_MS 500 /* the interval between dispatches is shorter */
 
 static void
@@ -19,7 +18,8 @@
                                       .step = name->step,
                                       .index = name->index,
                                       .generation = known ? known->generation + 1 : 1,
-                                      .cell = cell };
+                                      .cell = cell,
+                                      .crashes = stage->tasks[name->index].crashes };
   iv_event (IV_LEVEL_INFO, cell < 0 ? "task.returned" : "task.delegated",
             "task=%s.%u.%u.%u to=%d generation=%u waited_ms=%" G_GINT64_FORMAT, exec->job->id,
             name->occurrence, name->step, name->index, cell, delegation.generation,
@@ -29,7 +29,7 @@
 }
 
 /* Whether the steps of the job can be delegated task by task: none ends, starts with others or at a
-   time, or follows another. */
+   time, follows another, or needs more of a worker than cores and memory. */
 static gboolean
 is_delegable (const struct iv_job_exec *exec)
 {
@@ -40,19 +40,20 @@
     {
       const ivj_step *step = &spec->steps.steps_val[i];
       if (!(step->flags & IVJ_LONG_RUNNING) || step->depends.depends_len > 0
+          || step->accelerators > 0 || *step->label || *step->data_rack
           || (step->flags & (IVJ_GANG | IVJ_RACK_LOCAL | IVJ_BEST_EFFORT)))
         return FALSE;
     }
   return TRUE;
 }
 
-/* Whether no run of @a task can exist, it is not suspected of crashing workers, and no worker is
-   being kept free for it. */
+/* Whether no run of @a task can exist, and no worker is being kept free for it. */
 static gboolean
 may_be_given (const struct iv_owner *owner, const struct iv_job_exec *exec,
               const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
 {
-  return iv_dispatch_may_start (owner, exec, stage, task, now_ms) && task->crashes == 0
+  return iv_dispatch_is_free (owner, exec, stage, task, now_ms)
+         && now_ms >= task->delegate_not_before_ms
          && iv_reserve_find (owner->fleet, task, now_ms) == NULL;
 }
 
@@ -68,7 +69,7 @@
     {
       const struct iv_job_task *task = &stage->tasks[name.index];
       gint cell;
-      if (!may_be_given (owner, exec, stage, task, now_ms) || now_ms < task->delegate_not_before_ms
+      if (!may_be_given (owner, exec, stage, task, now_ms) || task->crashes > 0
           || (task->run == 0 && stage->placed == 0))
         continue;
       cell = owner->effects.find_delegate (owner->effects.context, &need);
@@ -78,14 +79,27 @@
     }
 }
 
+static gboolean
+has_waited (const struct iv_stage *stage, gint64 wait_ms, gint64 now_ms)
+{
+  return iv_stage_waiting (stage) > 0 && stage->waiting_since_ms > 0
+         && now_ms >= stage->waiting_since_ms + wait_ms;
+}
+
+/* Returns the waiting tasks of the stage that found no worker, and at once those under suspicion,
+   which only the cell of their job may start. */
 static void
 return_tasks (struct iv_owner *owner, const struct iv_job_exec *exec, struct iv_stage *stage,
               guint occurrence, gint64 now_ms)
 {
+  gboolean waited = has_waited (stage, RETURN_AFTER_MS, now_ms);
   struct iv_task_name name = { .occurrence = occurrence, .step = stage->number };
   for (name.index = 0; name.index < stage->step->count; name.index++)
-    if (may_be_given (owner, exec, stage, &stage->tasks[name.index], now_ms))
-      record (owner, exec, stage, &name, -1, now_ms);
+    {
+      const struct iv_job_task *task = &stage->tasks[name.index];
+      if ((waited || task->crashes > 0) && may_be_given (owner, exec, stage, task, now_ms))
+        record (owner, exec, stage, &name, -1, now_ms);
+    }
 }
 
 static gboolean
@@ -94,13 +108,6 @@
   return exec->unholdable_ms > 0 && now_ms <= exec->unholdable_ms + UNHOLDABLE_MAX_AGE_MS;
 }
 
-static gboolean
-has_waited (const struct iv_stage *stage, gint64 wait_ms, gint64 now_ms)
-{
-  return iv_stage_waiting (stage) > 0 && stage->waiting_since_ms > 0
-         && now_ms >= stage->waiting_since_ms + wait_ms;
-}
-
 static void
 delegate_or_return (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
 {
@@ -113,9 +120,9 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           struct iv_stage *stage = &occurrence->stages[j];
-          if (guest && has_waited (stage, RETURN_AFTER_MS, now_ms))
+          if (guest)
             return_tasks (owner, exec, stage, occurrence->number, now_ms);
-          else if (!guest && has_waited (stage, DELEGATE_AFTER_MS, now_ms))
+          else if (has_waited (stage, DELEGATE_AFTER_MS, now_ms))
             delegate_tasks (owner, exec, stage, occurrence->number, now_ms);
         }
     }
--- a/jobs/delegations.c
+++ b/jobs/delegations.c
@@ -55,15 +55,16 @@
 iv_delegations_apply (GArray **delegations, const char *task, const char *value)
 {
   gint64 place[3];
-  gint64 state[2];
+  gint64 state[3];
   struct iv_delegation *known;
   struct iv_delegation delegation;
   if (!parse_numbers (task, '.', place, 3) || MIN (MIN (place[0], place[1]), place[2]) < 0
-      || !parse_numbers (value, ' ', state, 2) || state[0] < 1)
+      || !parse_numbers (value, ' ', state, 3) || state[0] < 1 || state[1] >= IV_CELLS_MAX
+      || state[2] < 0)
     return iv_fail (IV_ERR_INVALID,
-                    "malformed delegation record: expected a generation and a cell");
+                    "malformed delegation record: expected a generation, a cell and a count");
   delegation = (struct iv_delegation){ (guint)place[0], (guint)place[1], (guint)place[2],
-                                       (guint)state[0], (gint)state[1] };
+                                       (guint)state[0], (gint)state[1],  (guint)state[2] };
   known = find (*delegations, delegation.occurrence, delegation.step, delegation.index);
   if (known && delegation.generation > known->generation)
     *known = delegation;
@@ -85,5 +86,6 @@
 char *
 iv_delegation_format_value (const struct iv_delegation *delegation)
 {
-  return g_strdup_printf ("%u %d", delegation->generation, delegation->cell);
+  return g_strdup_printf ("%u %d %u", delegation->generation, delegation->cell,
+                          delegation->crashes);
 }
--- a/jobs/delegations.h
+++ b/jobs/delegations.h
@@ -14,6 +14,7 @@
 #include "status.h"
 #include "task_name.h"
 
+#define IV_CELLS_MAX 24 /**< every topic of the platform has at least this many partitions */
 #define IV_KEY_DELEGATION                                                                          \
   "+d" /**< job id + this + task: the cell that runs the task from now on                          \
         */
@@ -26,6 +27,7 @@
   guint index;
   guint generation; /**< records of this delegation so far, from 1 */
   gint cell;        /**< that runs the task; -1: it was returned */
+  guint crashes;    /**< of workers, that the task is suspected of in the cell that returns it */
 };
 
 /** The newest record of the delegation of task @a name in @a delegations (struct iv_delegation;
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -54,15 +54,22 @@
 /* A task whose runs are known may have failed before, under an owner that could not record it; once
    it has failed here, one more start may be one too many. */
 gboolean
-iv_dispatch_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
-                       const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
+iv_dispatch_is_free (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                     const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
 {
   return task->state == IV_JOB_TASK_WAITING && now_ms >= task->not_before_ms
-         && iv_crash_may_start (owner, exec, task)
          && (owner->previous_runs_known || !exec->inherited || stage->runs_known
              || (task->runs_known && task->failures == 0));
 }
 
+static gboolean
+may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
+           const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
+{
+  return iv_dispatch_is_free (owner, exec, stage, task, now_ms)
+         && iv_crash_may_start (owner, exec, task);
+}
+
 static void
 start_task (struct iv_owner *owner, const struct iv_placement_query *query,
             struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
@@ -153,7 +160,7 @@
       struct iv_fleet_worker *worker;
       if (owner->start_credit == 0)
         return;
-      if (!iv_dispatch_may_start (owner, exec, stage, task, now_ms))
+      if (!may_start (owner, exec, stage, task, now_ms))
         continue;
       worker
           = query->reserves ? find_or_reserve (query, task, &search) : iv_place_task (query, task);
@@ -189,7 +196,7 @@
     return;
   for (guint i = 0; i < count; i++)
     {
-      if (!iv_dispatch_may_start (owner, exec, stage, &stage->tasks[i], now_ms))
+      if (!may_start (owner, exec, stage, &stage->tasks[i], now_ms))
         return;
       highest = MAX (highest, stage->tasks[i].run);
       if (stage->tasks[i].checkpoint)
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -3,9 +3,10 @@
 #include <string.h>
 
 /* A task that was returned is not delegated again until the load of the cell that returned it is
- * newer.
- */
+   newer, and later each time: that cell may lack something else than cores. */
 #define DELEGATE_AGAIN_MS 2000
+/* A task that was delegated to a cell is not returned before it has had the time for a start. */
+#define RETURN_AFTER_MS 1500
 
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
@@ -14,8 +15,25 @@
   stage->away = away ? stage->away + 1 : stage->away - 1;
 }
 
+/* The task belongs to this cell from now on. */
 static void
-apply_delegation (const struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+take_task (struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
+           const struct iv_delegation *delegation, gint64 now_ms)
+{
+  set_away (stage, task, FALSE);
+  if (exec->guest_cell >= 0)
+    {
+      task->crashes = 0;
+      task->delegate_not_before_ms = now_ms + RETURN_AFTER_MS;
+      return;
+    }
+  task->crashes += delegation->crashes;
+  exec->crashes_returned |= delegation->crashes > 0;
+  task->delegate_not_before_ms = now_ms + DELEGATE_AGAIN_MS * (delegation->generation / 2);
+}
+
+static void
+apply_delegation (struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
                   const struct iv_delegation *delegation, gint64 now_ms)
 {
   gint cell = delegation ? delegation->cell : -1;
@@ -26,14 +44,11 @@
   if (task->state == IV_JOB_TASK_WAITING && cell != exec->guest_cell)
     set_away (stage, task, TRUE);
   else if (task->state == IV_JOB_TASK_AWAY && cell == exec->guest_cell)
-    {
-      set_away (stage, task, FALSE);
-      task->delegate_not_before_ms = now_ms + DELEGATE_AGAIN_MS;
-    }
+    take_task (exec, stage, task, delegation, now_ms);
 }
 
 static void
-apply_delegations (const struct iv_job_exec *exec, struct iv_occurrence *occurrence, gint64 now_ms)
+apply_delegations (struct iv_job_exec *exec, struct iv_occurrence *occurrence, gint64 now_ms)
 {
   struct iv_task_name name = { .occurrence = occurrence->number };
   for (name.step = 0; name.step < exec->job->spec.steps.steps_len; name.step++)
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -35,7 +35,7 @@
   char *checkpoint;         /**< to resume from; NULL: start from the beginning */
   guint
       delegation_sent; /**< generation of a delegation record that has not been read yet; 0: none */
-  gint64 delegate_not_before_ms; /**< monotonic clock; it has just been returned */
+  gint64 delegate_not_before_ms; /**< monotonic clock; it has just come to this cell */
 };
 
 /** Execution state of one step in one occurrence. */
@@ -77,9 +77,10 @@
   gboolean started;       /**< a task of it may have started: a start was sent, or a worker told */
   gboolean inherited;     /**< a previous owner may have started tasks of it */
   gboolean has_crashes;   /**< a task of it was suspected of a crash */
-  gboolean hopeless;      /**< a task of it is to blame for crashes */
-  guint64 crash_batch;    /**< collection that records the newest crash; suspects wait for it */
-  guint placed;           /**< tasks that run or may run */
+  gboolean crashes_returned; /**< tasks were returned with crashes that are not recorded yet */
+  gboolean hopeless;         /**< a task of it is to blame for crashes */
+  guint64 crash_batch;       /**< collection that records the newest crash; suspects wait for it */
+  guint placed;              /**< tasks that run or may run */
   /** Runs have higher numbers: up to it they may have been used when the cell had the job, or its
    *  task, before. */
   gint64 run_floor;
--- a/jobs/layout.h
+++ b/jobs/layout.h
@@ -11,8 +11,6 @@
 
 #include "job_table.h"
 
-#define IV_CELLS_MAX 24 /**< every topic of the platform has at least this many partitions */
-
 /** A layout. */
 struct iv_layout;
 
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -280,6 +280,7 @@
         return;
     }
   iv_job_exec_apply_delegations (exec, now_ms);
+  iv_crash_record_returned (owner, exec);
   owner->needs_dispatch |= job->delegations != NULL;
   if (job->cancel)
     iv_owner_end_job (owner, exec, IVJ_CANCELLED, now_ms);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -211,11 +211,10 @@
 /** Set the time by which the job of @a exec earns its full value. */
 void iv_owner_set_objective (struct iv_owner *owner, struct iv_job_exec *exec);
 
-/** Whether @a task may be started as far as its earlier runs go: it waits, and no run of it can
- *  exist. dispatch.c. */
-gboolean iv_dispatch_may_start (const struct iv_owner *owner, const struct iv_job_exec *exec,
-                                const struct iv_stage *stage, const struct iv_job_task *task,
-                                gint64 now_ms);
+/** Whether @a task waits, and no run of it can exist. dispatch.c. */
+gboolean iv_dispatch_is_free (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                              const struct iv_stage *stage, const struct iv_job_task *task,
+                              gint64 now_ms);
 
 /** Start every task that can start: dispatch.c. */
 void iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms);
--- a/jobs/tests/delegate_test.c
+++ b/jobs/tests/delegate_test.c
@@ -323,6 +323,48 @@
   sim_free (sim);
 }
 
+static gboolean
+is_first_task (const struct iv_task_name *name)
+{
+  return name->index == 0;
+}
+
+/* Guards against a deadly task that crashes one worker after the other in a cell that does not
+   count for it: it goes back with its count, and stays. */
+static void
+test_suspected_task_is_returned_with_its_count (void **state)
+{
+  struct sim *sim = start_delegate (8);
+  sim->is_deadly = is_first_task;
+  apply_delegation (sim, 0, 1, SIM_OTHER_CELL);
+  sim_advance (sim, 20000);
+  assert_int_equal (sim->deadly_starts[0], 1);
+  assert_int_equal (sim->last_delegation.cell, -1);
+  assert_int_equal (sim->last_delegation.crashes, 1);
+  sim_free (sim);
+}
+
+/* At home the count goes on: the crash elsewhere was one of those that prove a task deadly. */
+static void
+test_crashes_elsewhere_count (void **state)
+{
+  struct sim *sim = start_full_cell ();
+  struct iv_job_entry *job = iv_job_table_find (sim->job_table, JOB_ID);
+  sim->delegate_milli = 2000;
+  sim_advance (sim, LOST_AFTER_MS);
+  assert_int_equal (sim->delegation_calls, 1);
+  sim->last_delegation.generation++;
+  sim->last_delegation.cell = -1;
+  sim->last_delegation.crashes = 1;
+  sim->delegate_milli = 100000;
+  sim_apply_delegation (sim, JOB_ID, &sim->last_delegation);
+  sim_advance (sim, SETTLE_MS);
+  assert_true (job->has_crash_record);
+  assert_int_equal (job->crashes.tasks.tasks_len, 1);
+  assert_int_equal (job->crashes.tasks.tasks_val[0].crashes, 1);
+  sim_free (sim);
+}
+
 static gint64
 run_number (const struct sim *sim, guint worker)
 {
@@ -393,6 +435,8 @@
     cmocka_unit_test (test_borrower_returns_what_it_cannot_place),
     cmocka_unit_test (test_tasks_count_in_the_cell_that_runs_them),
     cmocka_unit_test (test_late_run_of_an_earlier_stay_is_stopped),
+    cmocka_unit_test (test_suspected_task_is_returned_with_its_count),
+    cmocka_unit_test (test_crashes_elsewhere_count),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
