--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -43,7 +43,7 @@
     return;
   if (task->state == IV_JOB_TASK_WAITING && cell != exec->guest_cell)
     set_away (stage, task, TRUE);
-  else if (task->state == IV_JOB_TASK_AWAY && cell == exec->guest_cell)
+  else if (delegation && task->state == IV_JOB_TASK_AWAY && cell == exec->guest_cell)
     take_task (exec, stage, task, delegation, now_ms);
 }
 
