--- a/jobs/delegate.c
+++ b/jobs/delegate.c
@@ -6,7 +6,6 @@
 #define DELEGATE_INTERVAL_MS 100
 /* A worker may become free for a task soon after it began to wait. */
 #define DELEGATE_AFTER_MS 500
-#define RETURN_AFTER_MS 1500      /* a reserved worker becomes free within this time */
 #define UNHOLDABLE_MAX_AGE_MS 500 /* the interval between dispatches is shorter */
 
 static void
@@ -57,8 +56,8 @@
          && iv_reserve_find (owner->fleet, task, now_ms) == NULL;
 }
 
-/* Lends the waiting tasks of the stage for which other cells have pieces. Only the cell of its job
-   counts the crashes of a task, so one of the step must have run before. */
+/* Delegates the waiting tasks of the stage for which other cells have pieces. Only the cell of its
+   job counts the crashes of a task, so one of the step must have run before. */
 static void
 delegate_tasks (struct iv_owner *owner, const struct iv_job_exec *exec, struct iv_stage *stage,
                 guint occurrence, gint64 now_ms)
@@ -92,7 +91,7 @@
 return_tasks (struct iv_owner *owner, const struct iv_job_exec *exec, struct iv_stage *stage,
               guint occurrence, gint64 now_ms)
 {
-  gboolean waited = has_waited (stage, RETURN_AFTER_MS, now_ms);
+  gboolean waited = has_waited (stage, IV_RETURN_AFTER_MS, now_ms);
   struct iv_task_name name = { .occurrence = occurrence, .step = stage->number };
   for (name.index = 0; name.index < stage->step->count; name.index++)
     {
--- a/jobs/delegations.h
+++ b/jobs/delegations.h
@@ -1,6 +1,6 @@
 /**
  * @file delegations.h
- * Loans: single tasks of a long-running job that another cell runs.
+ * Delegations: single tasks of a long-running job that another cell runs.
  *
  * A task belongs to the cell of its job until the owner of that cell delegates it, and then to the
  * other cell until the owner of that one returns it. Each writes the record while the task has no
@@ -15,9 +15,8 @@
 #include "task_name.h"
 
 #define IV_CELLS_MAX 24 /**< every topic of the platform has at least this many partitions */
-#define IV_KEY_DELEGATION                                                                          \
-  "+d" /**< job id + this + task: the cell that runs the task from now on                          \
-        */
+/** Between the job id and the task in the key of a record: which cell runs the task from now on. */
+#define IV_KEY_DELEGATION "+d"
 
 /** A delegation of one task, as recorded. */
 struct iv_delegation
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -5,8 +5,6 @@
 /* A task that was returned is not delegated again until the load of the cell that returned it is
    newer, and later each time: that cell may lack something else than cores. */
 #define DELEGATE_AGAIN_MS 2000
-/* A task that was delegated to a cell is not returned before it has had the time for a start. */
-#define RETURN_AFTER_MS 1500
 
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
@@ -24,7 +22,7 @@
   if (exec->guest_cell >= 0)
     {
       task->crashes = 0;
-      task->delegate_not_before_ms = now_ms + RETURN_AFTER_MS;
+      task->delegate_not_before_ms = now_ms + IV_RETURN_AFTER_MS;
       return;
     }
   task->crashes += delegation->crashes;
@@ -51,6 +49,8 @@
 apply_delegations (struct iv_job_exec *exec, struct iv_occurrence *occurrence, gint64 now_ms)
 {
   struct iv_task_name name = { .occurrence = occurrence->number };
+  if (exec->job->delegations == NULL)
+    return;
   for (name.step = 0; name.step < exec->job->spec.steps.steps_len; name.step++)
     {
       struct iv_stage *stage = &occurrence->stages[name.step];
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -8,6 +8,10 @@
 
 #include "job_table.h"
 
+/** A task that was delegated to a cell is returned when it has found no worker for this long: one
+ * that is reserved for it becomes free in less, as batch tasks are short. */
+#define IV_RETURN_AFTER_MS 1500
+
 /** State of a task. */
 enum iv_job_task_state
 {
@@ -33,9 +37,9 @@
   guint32 avoid_worker;     /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;      /**< no previous owner can have started it, nor learn that it ended */
   char *checkpoint;         /**< to resume from; NULL: start from the beginning */
-  guint
-      delegation_sent; /**< generation of a delegation record that has not been read yet; 0: none */
-  gint64 delegate_not_before_ms; /**< monotonic clock; it has just come to this cell */
+  guint delegation_sent; /**< generation of its record that was sent, and not read yet; 0: none */
+  /** Monotonic clock; it came to this cell lately, and is not delegated or returned earlier. */
+  gint64 delegate_not_before_ms;
 };
 
 /** Execution state of one step in one occurrence. */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -250,6 +250,7 @@
 iv_owner_job_changed (struct iv_owner *owner, struct iv_job_entry *job, gint64 now_ms)
 {
   struct iv_job_exec *exec = job->exec;
+  struct iv_job_exec *guest;
   if (job->move_pending)
     return;
   if (!owner->effects.owns_job (owner->effects.context, job))
@@ -259,8 +260,9 @@
       iv_owner_guests_changed (owner, job, now_ms);
       return;
     }
-  if (g_hash_table_lookup (owner->guests, job->id))
-    iv_owner_withdraw (owner, g_hash_table_lookup (owner->guests, job->id), now_ms);
+  guest = g_hash_table_lookup (owner->guests, job->id);
+  if (guest)
+    iv_owner_withdraw (owner, guest, now_ms);
   if (exec && exec->owner != owner)
     {
       iv_owner_withdraw (exec->owner, exec, now_ms);
