--- a/jobs/tests/two_cells_test.c
+++ b/jobs/tests/two_cells_test.c
@@ -1,4 +1,4 @@
-/* Plays of two cells whose owners lend each other's jobs single tasks, while workers go and come
+/* Plays of two cells whose owners delegate single tasks to each other, while workers go and come
  * back, owners change and records are late, lost or read again. Each play follows from its seed.
  * With a seed as argument, only that one is played, and what happens in it is printed; a second
  * argument is the number of plays from there on. */
@@ -16,7 +16,7 @@
 #define PLAYS 200
 #define DISTURBED_MS 60000
 /* The longest lease and the horizon of a new owner, a restart after both, and time for a task to be
-   lent or returned. */
+   delegated or returned. */
 #define SETTLE_MS 30000
 #define EVENT_INTERVAL_MS 700 /* mean time between two events */
 #define PROVEN_MS 1500        /* a worker that goes sooner after a start is held against the task */
@@ -94,7 +94,7 @@
   guint plays;
   gboolean traced;
   guint failed[FAULT_COUNT]; /* plays */
-  guint lent;
+  guint delegated;
   guint returned;
   guint not_stored;
   guint owners;
@@ -184,7 +184,7 @@
   if (record->delegation.cell < 0)
     totals.returned++;
   else
-    totals.lent++;
+    totals.delegated++;
 }
 
 /* Answers of the store come in the order of the appends. */
@@ -617,10 +617,10 @@
 {
   for (guint i = 0; i < totals.plays; i++)
     play_seed (totals.first_seed + i);
-  print_message ("lent %u, returned %u, not stored %u, owners %u, restarts %u, read again %u,"
+  print_message ("delegated %u, returned %u, not stored %u, owners %u, restarts %u, read again %u,"
                  " cancelled %u\n",
-                 totals.lent, totals.returned, totals.not_stored, totals.owners, totals.restarts,
-                 totals.read_again, totals.cancelled);
+                 totals.delegated, totals.returned, totals.not_stored, totals.owners,
+                 totals.restarts, totals.read_again, totals.cancelled);
   return 0;
 }
 
@@ -654,7 +654,7 @@
 {
   if (totals.plays < PLAYS)
     skip ();
-  assert_true (totals.lent >= totals.plays);
+  assert_true (totals.delegated >= totals.plays);
   assert_true (totals.returned >= totals.plays / 4);
   assert_true (totals.not_stored >= totals.plays / 4);
   assert_true (totals.cancelled >= totals.plays / 4);
