--- a/jobs/tests/delegate_test.c
+++ b/jobs/tests/delegate_test.c
@@ -165,13 +165,17 @@
     {
       struct sim *sim = start_full_cell ();
       struct iv_job_entry *job = iv_job_table_find (sim->job_table, JOB_ID);
+      for (guint i = 0; i < TASKS; i++)
+        apply_delegation (sim, i, 2, -1);
       sim->delegate_milli = 2000;
       sim->defer_delegations = TRUE;
       sim_advance (sim, LOST_AFTER_MS);
       assert_int_equal (sim->delegation_calls, 1);
+      assert_int_equal (sim->last_delegation.generation, 3);
       sim->workers[1].capacity_milli = 8000;
       sim_list_worker (sim, 1);
-      iv_owner_job_changed (sim->owner, job, sim->now_ms);
+      /* An earlier record of the task is read again. */
+      apply_delegation (sim, sim->last_delegation.index, 2, -1);
       sim_advance (sim, SETTLE_MS);
       assert_int_equal (sim_worker_runs (sim, 1, JOB_ID), TASKS - 1);
       if (stored)
