--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the scenario "schedule" of ../world.c. Exit status: 0 the rule held, 1 it was broken, 2 the case
+# Runs the scenario "schedule" of ../world.inc. Exit status: 0 the rule held, 1 it was broken, 2 the case
 # could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
