Confirm no end before the record of its job is stored

Cause: a progress record that could not be encoded was left out of its batch, and the batch counted as stored, so that LastSeen passed ends that no record held.

An end now waits for the record of its own job: each worker keeps the ends that are not confirmed, with the collection and the job of each, and its LastSeen stops before the first whose job has a record that was not stored, for want of the store or because it is too large. Ends of other jobs before it are confirmed. The encoding and the failures of records moved to owner_records.c, one path for the daemon and the simulated cell.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -302,43 +302,39 @@
   g_free (batch);
 }
 
-/* A progress record being appended. It is collected again, with the newest state, if it could not
-   be stored. */
-struct progress_record
+/* The records of a job being appended. They are collected again, with the newest state, if they
+   could not be stored. */
+struct job_record
 {
   struct iv_cell_task *task;
   gint64 term;
   char id[IV_JOB_ID_LEN + 1];
-  GByteArray *bytes;
 };
 
 static void
-on_progress_stored (void *context, enum iv_status status, gint64 end)
+on_job_record_stored (void *context, enum iv_status status, gint64 end)
 {
-  struct progress_record *record = context;
+  struct job_record *record = context;
   struct iv_cell_task *task = record->task;
   struct iv_job_entry *job;
   if (status == IV_ERR_UNAVAILABLE && task->owner && task->term == record->term)
     {
       job = iv_job_table_find (task->deps.job_table, record->id);
       if (job)
-        iv_owner_requeue_record (task->owner, job);
+        iv_owner_record_failed (task->owner, job, FALSE);
     }
   g_free (record);
 }
 
-/* Queues a record to be stored in one append with the progress of @a job: when that fails, both are
-   collected again. @a bytes are freed; NULL: there is nothing to record. */
 static void
-record_with_progress (struct iv_cell_task *task, const struct iv_job_entry *job, const char *suffix,
-                      GByteArray *bytes)
+append_job_record (void *context, const char *key, const GByteArray *value)
 {
-  char key[IV_JOB_ID_LEN + 8];
-  if (bytes == NULL)
-    return;
-  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
-  iv_recorder_add (task->recorder, key, bytes->data, bytes->len, NULL, NULL);
-  g_byte_array_free (bytes, TRUE);
+  struct iv_cell_task *task = context;
+  struct job_record *record = g_new0 (struct job_record, 1);
+  record->task = task;
+  record->term = task->term;
+  g_strlcpy (record->id, key, sizeof record->id);
+  iv_recorder_add (task->recorder, key, value->data, value->len, on_job_record_stored, record);
 }
 
 static void
@@ -347,45 +343,25 @@
   GPtrArray *jobs;
   struct progress_batch *batch;
   guint64 number;
+  guint encoded = 0;
   if (task->progress_appends > 0 || !iv_owner_has_unrecorded (task->owner))
     return;
   jobs = iv_owner_collect_unrecorded (task->owner, &number);
   for (guint i = 0; i < jobs->len; i++)
+    encoded += iv_owner_encode_records (task->owner, g_ptr_array_index (jobs, i), append_job_record,
+                                        task);
+  g_ptr_array_free (jobs, TRUE);
+  if (encoded == 0)
     {
-      const struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      record_with_progress (task, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
-      record_with_progress (task, job, "", iv_job_encode_ended (job));
-      GByteArray *bytes = iv_owner_encode_progress (job);
-      struct progress_record *record;
-      char key[IV_JOB_ID_LEN + 8];
-      if (bytes == NULL)
-        {
-          iv_event (IV_LEVEL_ERROR, "record.too_large", "job=%s", job->id);
-          continue;
-        }
-      record = g_new0 (struct progress_record, 1);
-      record->task = task;
-      record->term = task->term;
-      g_strlcpy (record->id, job->id, sizeof record->id);
-      g_snprintf (key, sizeof key, "%s" IV_KEY_PROGRESS, job->id);
-      iv_recorder_add (task->recorder, key, bytes->data, bytes->len, on_progress_stored, record);
-      g_byte_array_free (bytes, TRUE);
+      iv_owner_records_stored (task->owner, number);
+      return;
     }
   batch = g_new0 (struct progress_batch, 1);
   batch->task = task;
   batch->term = task->term;
   batch->number = number;
-  if (jobs->len == 0)
-    {
-      iv_owner_records_stored (task->owner, number);
-      g_free (batch);
-    }
-  else
-    {
-      task->progress_appends++;
-      iv_recorder_add (task->recorder, NULL, NULL, 0, on_progress_batch_stored, batch);
-    }
-  g_ptr_array_free (jobs, TRUE);
+  task->progress_appends++;
+  iv_recorder_add (task->recorder, NULL, NULL, 0, on_progress_batch_stored, batch);
 }
 
 static void
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -37,6 +37,7 @@
   g_ptr_array_set_free_func (worker->runs, g_free);
   g_ptr_array_free (worker->runs, TRUE);
   g_array_free (worker->lost_starts, TRUE);
+  g_array_free (worker->unconfirmed, TRUE);
   g_free (worker->id);
   g_free (worker->service);
   g_free (worker->address);
@@ -100,7 +101,7 @@
   worker->lease_end_clock_ms = 0;
   worker->acked_end = 0;
   worker->processed_end = 0;
-  worker->recording_end = 0;
+  g_array_set_size (worker->unconfirmed, 0);
   worker->failures = 0;
   worker->consecutive_failed_runs = 0;
   worker->quarantined_until_ms = 0;
@@ -146,6 +147,7 @@
       worker->id = g_strdup (listed->id);
       worker->runs = g_ptr_array_new ();
       worker->lost_starts = g_array_new (FALSE, FALSE, sizeof (struct iv_lost_start));
+      worker->unconfirmed = g_array_new (FALSE, FALSE, sizeof (struct iv_unconfirmed_end));
       reset_instance (fleet, worker, listed->start_time_ms);
       g_hash_table_insert (fleet->by_id, worker->id, worker);
     }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -151,10 +151,9 @@
   gint64 acked_end;           /**< run ends up to this sequence number are recorded; the worker may
                                    discard them */
   gint64 processed_end;       /**< run ends up to this sequence number were processed */
-  gint64 recording_end;       /**< run ends up to this sequence number are being recorded... */
-  guint64 recording_collection; /**< ...and are stored once this collection of the owner is */
-  gboolean list_partial;        /**< rows of its newest list could not be read */
-  gboolean polling;             /**< a poll is in flight */
+  GArray *unconfirmed;   /**< of struct iv_unconfirmed_end: those after `acked_end`, in order */
+  gboolean list_partial; /**< rows of its newest list could not be read */
+  gboolean polling;      /**< a poll is in flight */
   gint64 next_poll_ms;
   guint failures; /**< consecutive requests without a reply */
   guint consecutive_failed_runs;
@@ -169,6 +168,15 @@
   GArray *lost_starts;          /**< of struct iv_lost_start */
 };
 
+/** A run end that was processed, and that the worker must keep until the record of its job is
+ *  stored. */
+struct iv_unconfirmed_end
+{
+  gint64 sequence;
+  guint64 batch; /**< collection of the owner that its job was last part of; 0: none yet */
+  char job[IV_JOB_ID_LEN + 1];
+};
+
 /** A start without a reply, which may be carried out late by a later instance of the worker. */
 struct iv_lost_start
 {
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -49,9 +49,10 @@
   enum ivj_state live_state; /**< state at the owner; may be newer than the recorded one */
   gint64 live_ended_ms;      /**< wall clock; when `live_state` became final */
   gboolean move_pending;     /**< sent to another cell; the move record is not applied yet */
-  struct iv_job_exec *exec;  /**< execution state; NULL except at the owner */
-  GArray *delegations;       /**< of struct iv_delegation, as recorded; NULL: none */
-  gint64 highest_run;        /**< that an owner of this host has used for any of its tasks */
+  gboolean unstored; /**< its newest record was not stored: what it tells of is not confirmed */
+  struct iv_job_exec *exec; /**< execution state; NULL except at the owner */
+  GArray *delegations;      /**< of struct iv_delegation, as recorded; NULL: none */
+  gint64 highest_run;       /**< that an owner of this host has used for any of its tasks */
   guint guests; /**< execution states of tasks that cells owned by this host were delegated */
 };
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -46,7 +46,7 @@
   struct iv_job_entry *job = exec->job;
   iv_event (IV_LEVEL_INFO, "job.moved", "job=%s to=%u", job->id, cell);
   g_ptr_array_remove_fast (owner->execs, exec);
-  g_ptr_array_remove_fast (owner->unrecorded, job);
+  iv_owner_forget_record (owner, job);
   iv_job_exec_free (exec);
   job->move_pending = TRUE;
   owner->effects.move_job (owner->effects.context, job, cell);
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -64,6 +64,7 @@
     {
       job->live_state = IVJ_QUEUED;
       job->move_pending = FALSE;
+      job->unstored = FALSE;
     }
 }
 
@@ -102,28 +103,12 @@
   return g_hash_table_lookup (owner->guests, name->job);
 }
 
-void
-iv_owner_requeue_record (struct iv_owner *owner, struct iv_job_entry *job)
-{
-  if (!g_ptr_array_find (owner->unrecorded, job, NULL))
-    g_ptr_array_add (owner->unrecorded, job);
-}
-
 void
 iv_owner_config_changed (struct iv_owner *owner)
 {
   owner->needs_dispatch = TRUE;
 }
 
-void
-iv_owner_queue_record (struct iv_owner *owner, struct iv_job_exec *exec)
-{
-  if (!exec->needs_record)
-    return;
-  exec->needs_record = FALSE;
-  iv_owner_requeue_record (owner, exec->job);
-}
-
 void
 iv_owner_clear_placement (struct iv_job_exec *exec, struct iv_stage *stage,
                           struct iv_job_task *task)
@@ -242,7 +227,7 @@
   if (exec->guest_cell >= 0)
     g_hash_table_remove (owner->guests, exec->job->id);
   else
-    g_ptr_array_remove_fast (owner->unrecorded, exec->job);
+    iv_owner_forget_record (owner, exec->job);
   iv_job_exec_free (exec);
 }
 
@@ -519,75 +504,6 @@
   iv_owner_log_load (owner, now_ms);
 }
 
-gboolean
-iv_owner_has_unrecorded (const struct iv_owner *owner)
-{
-  GHashTableIter iter;
-  gpointer value;
-  if (owner->unrecorded->len > 0)
-    return TRUE;
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct iv_fleet_worker *worker = value;
-      if (worker->processed_end > worker->acked_end && worker->recording_end <= worker->acked_end)
-        return TRUE;
-    }
-  return FALSE;
-}
-
-GPtrArray *
-iv_owner_collect_unrecorded (struct iv_owner *owner, guint64 *batch)
-{
-  GPtrArray *jobs = owner->unrecorded;
-  GHashTableIter iter;
-  gpointer value;
-  owner->batch++;
-  *batch = owner->batch;
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct iv_fleet_worker *worker = value;
-      if (worker->recording_end > worker->acked_end || worker->processed_end == worker->acked_end)
-        continue;
-      worker->recording_end = worker->processed_end;
-      worker->recording_collection = owner->batch;
-    }
-  owner->unrecorded = g_ptr_array_new ();
-  return jobs;
-}
-
-GByteArray *
-iv_owner_encode_progress (const struct iv_job_entry *job)
-{
-  ivj_progress ended = { .state = job->live_state, .ended_ms = job->live_ended_ms };
-  if (job->exec)
-    return iv_job_exec_encode (job->exec);
-  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
-}
-
-GByteArray *
-iv_owner_encode_crashes (const struct iv_job_entry *job)
-{
-  return job->exec ? iv_job_exec_encode_crashes (job->exec) : NULL;
-}
-
-void
-iv_owner_records_stored (struct iv_owner *owner, guint64 batch)
-{
-  GHashTableIter iter;
-  gpointer value;
-  owner->needs_dispatch |= owner->stored_batch < owner->crash_batch;
-  owner->stored_batch = MAX (owner->stored_batch, batch);
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct iv_fleet_worker *worker = value;
-      if (worker->recording_end > worker->acked_end && worker->recording_collection <= batch)
-        worker->acked_end = worker->recording_end;
-    }
-}
-
 struct iv_fleet *
 iv_owner_fleet (struct iv_owner *owner)
 {
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -297,22 +297,27 @@
 gboolean iv_owner_has_unrecorded (const struct iv_owner *owner);
 
 /** Take the jobs whose progress is to be recorded, as `struct iv_job_entry *`; may be empty. Sets
- *  @a batch to the number to pass to iv_owner_records_stored() once they are stored. The caller
- *  frees the array. */
+ *  @a batch to the number to pass to iv_owner_records_stored(), which has to be called before the
+ *  next collection. The caller frees the array. */
 GPtrArray *iv_owner_collect_unrecorded (struct iv_owner *owner, guint64 *batch);
 
-/** Every record up to @a batch was stored: workers may discard the ends that it covers. */
+/** The records of @a batch were stored, but for those of jobs that were passed to
+ *  iv_owner_record_failed(). Workers may discard the ends that the stored ones cover: each worker
+ *  those before its first end that is not covered. */
 void iv_owner_records_stored (struct iv_owner *owner, guint64 batch);
 
-/** Progress record of a collected job. NULL when it is too large. */
-GByteArray *iv_owner_encode_progress (const struct iv_job_entry *job);
+/** Called with a record: its key and value. */
+typedef void (*iv_owner_record_fn) (void *context, const char *key, const GByteArray *value);
 
-/** Record of the crashes that tasks of a collected job are suspected of, to be stored with its
- *  progress record. NULL: there is none. */
-GByteArray *iv_owner_encode_crashes (const struct iv_job_entry *job);
+/** Encode the records of a collected job and pass them to @a emit. All are to be stored, and
+ *  collected again when one of them is not. FALSE, after iv_owner_record_failed(), when one is too
+ *  large; then it was not passed. */
+gboolean iv_owner_encode_records (struct iv_owner *owner, struct iv_job_entry *job,
+                                  iv_owner_record_fn emit, void *context);
 
-/** The record of @a job was not stored: collect it again. */
-void iv_owner_requeue_record (struct iv_owner *owner, struct iv_job_entry *job);
+/** A record of @a job was not stored. Unless @a permanent it is collected again; else when the
+ *  progress of the job changes next. */
+void iv_owner_record_failed (struct iv_owner *owner, struct iv_job_entry *job, gboolean permanent);
 
 /** Queues or failure domains changed: attempt placement again. */
 void iv_owner_config_changed (struct iv_owner *owner);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -190,6 +190,13 @@
 /** Queue the job of @a exec for recording when its progress changed. */
 void iv_owner_queue_record (struct iv_owner *owner, struct iv_job_exec *exec);
 
+/** The progress of @a job is recorded by another cell from now on. */
+void iv_owner_forget_record (struct iv_owner *owner, struct iv_job_entry *job);
+
+/** An end in the list of @a worker was processed: it is confirmed once the record of its job is
+ *  stored. */
+void iv_owner_note_end (struct iv_fleet_worker *worker, const struct iv_listed_end *end);
+
 /** Move jobs that cannot be placed here to a cell with more free capacity: moves.c. */
 void iv_owner_move_jobs (struct iv_owner *owner, gint64 now_ms);
 
--- /dev/null
+++ b/jobs/owner_records.c
@@ -0,0 +1,174 @@
+#include "owner_private.h"
+
+static gboolean
+has_uncollected_end (const struct iv_fleet_worker *worker)
+{
+  const GArray *ends = worker->unconfirmed;
+  return ends->len > 0 && g_array_index (ends, struct iv_unconfirmed_end, ends->len - 1).batch == 0;
+}
+
+static void
+queue_job (struct iv_owner *owner, struct iv_job_entry *job)
+{
+  if (!g_ptr_array_find (owner->unrecorded, job, NULL))
+    g_ptr_array_add (owner->unrecorded, job);
+}
+
+void
+iv_owner_queue_record (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  if (!exec->needs_record)
+    return;
+  exec->needs_record = FALSE;
+  queue_job (owner, exec->job);
+}
+
+void
+iv_owner_forget_record (struct iv_owner *owner, struct iv_job_entry *job)
+{
+  g_ptr_array_remove_fast (owner->unrecorded, job);
+  job->unstored = FALSE;
+}
+
+void
+iv_owner_record_failed (struct iv_owner *owner, struct iv_job_entry *job, gboolean permanent)
+{
+  job->unstored = TRUE;
+  /* Tasks under suspicion wait for a later collection. */
+  if (job->exec && job->exec->has_crashes)
+    {
+      job->exec->crash_batch = owner->batch + 1;
+      owner->crash_batch = job->exec->crash_batch;
+    }
+  if (!permanent)
+    queue_job (owner, job);
+}
+
+void
+iv_owner_note_end (struct iv_fleet_worker *worker, const struct iv_listed_end *end)
+{
+  struct iv_unconfirmed_end unconfirmed = { .sequence = end->sequence };
+  g_strlcpy (unconfirmed.job, end->name.job, sizeof unconfirmed.job);
+  g_array_append_val (worker->unconfirmed, unconfirmed);
+}
+
+gboolean
+iv_owner_has_unrecorded (const struct iv_owner *owner)
+{
+  GHashTableIter iter;
+  gpointer value;
+  if (owner->unrecorded->len > 0)
+    return TRUE;
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (has_uncollected_end (value))
+      return TRUE;
+  return FALSE;
+}
+
+static void
+collect_ends (const struct iv_owner *owner, struct iv_fleet_worker *worker)
+{
+  for (guint i = worker->unconfirmed->len; i-- > 0;)
+    {
+      struct iv_unconfirmed_end *end
+          = &g_array_index (worker->unconfirmed, struct iv_unconfirmed_end, i);
+      if (end->batch > 0)
+        return;
+      end->batch = owner->batch;
+    }
+}
+
+GPtrArray *
+iv_owner_collect_unrecorded (struct iv_owner *owner, guint64 *batch)
+{
+  GPtrArray *jobs = owner->unrecorded;
+  GHashTableIter iter;
+  gpointer value;
+  owner->batch++;
+  *batch = owner->batch;
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    collect_ends (owner, value);
+  for (guint i = 0; i < jobs->len; i++)
+    ((struct iv_job_entry *)g_ptr_array_index (jobs, i))->unstored = FALSE;
+  owner->unrecorded = g_ptr_array_new ();
+  return jobs;
+}
+
+static GByteArray *
+encode_progress (const struct iv_job_entry *job)
+{
+  ivj_progress ended = { .state = job->live_state, .ended_ms = job->live_ended_ms };
+  if (job->exec)
+    return iv_job_exec_encode (job->exec);
+  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
+}
+
+static void
+emit_record (const struct iv_job_entry *job, const char *suffix, GByteArray *bytes,
+             iv_owner_record_fn emit, void *context)
+{
+  char key[IV_JOB_ID_LEN + 8];
+  if (bytes == NULL)
+    return;
+  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
+  emit (context, key, bytes);
+  g_byte_array_free (bytes, TRUE);
+}
+
+gboolean
+iv_owner_encode_records (struct iv_owner *owner, struct iv_job_entry *job, iv_owner_record_fn emit,
+                         void *context)
+{
+  GByteArray *progress = encode_progress (job);
+  if (progress == NULL)
+    {
+      iv_event (IV_LEVEL_ERROR, "record.too_large", "job=%s", job->id);
+      iv_owner_record_failed (owner, job, TRUE);
+      return FALSE;
+    }
+  if (job->exec)
+    emit_record (job, IV_KEY_CRASHES, iv_job_exec_encode_crashes (job->exec), emit, context);
+  emit_record (job, "", iv_job_encode_ended (job), emit, context);
+  emit_record (job, IV_KEY_PROGRESS, progress, emit, context);
+  return TRUE;
+}
+
+/* Whether the record of the job of @a end was stored in @a batch or before. A job that is not known
+   has no record. */
+static gboolean
+is_covered (const struct iv_owner *owner, const struct iv_unconfirmed_end *end, guint64 batch)
+{
+  const struct iv_job_entry *job;
+  if (end->batch == 0 || end->batch > batch)
+    return FALSE;
+  job = iv_job_table_find (owner->jobs, end->job);
+  return job == NULL || !job->unstored;
+}
+
+static void
+confirm_ends (const struct iv_owner *owner, struct iv_fleet_worker *worker, guint64 batch)
+{
+  const GArray *ends = worker->unconfirmed;
+  guint covered = 0;
+  while (covered < ends->len
+         && is_covered (owner, &g_array_index (ends, struct iv_unconfirmed_end, covered), batch))
+    covered++;
+  if (covered == 0)
+    return;
+  worker->acked_end = g_array_index (ends, struct iv_unconfirmed_end, covered - 1).sequence;
+  g_array_remove_range (worker->unconfirmed, 0, covered);
+}
+
+void
+iv_owner_records_stored (struct iv_owner *owner, guint64 batch)
+{
+  GHashTableIter iter;
+  gpointer value;
+  owner->needs_dispatch |= owner->stored_batch < owner->crash_batch;
+  owner->stored_batch = MAX (owner->stored_batch, batch);
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    confirm_ends (owner, value, batch);
+}
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -463,6 +463,7 @@
       if (end->sequence <= worker->processed_end)
         continue;
       worker->processed_end = end->sequence;
+      iv_owner_note_end (worker, end);
       handle_end (owner, worker, end, now_ms);
     }
   for (guint i = 0; i < reply->runs->len; i++)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -114,17 +114,12 @@
 }
 
 static void
-store_record (struct sim *sim, const struct iv_job_entry *job, const char *suffix,
-              GByteArray *bytes)
+store_record (void *context, const char *key, const GByteArray *value)
 {
-  char key[IV_JOB_ID_LEN + 8];
-  if (bytes == NULL)
-    return;
-  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
-  iv_job_table_apply (sim->job_table, key, bytes->data, bytes->len);
+  struct sim *sim = context;
+  iv_job_table_apply (sim->job_table, key, value->data, value->len);
   if (sim->record)
-    sim->record (sim, key, bytes->data, bytes->len);
-  g_byte_array_free (bytes, TRUE);
+    sim->record (sim, key, value->data, value->len);
 }
 
 static void
@@ -138,8 +133,10 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       struct iv_job_entry *job = g_ptr_array_index (jobs, i);
-      store_record (sim, job, IV_KEY_CRASHES, iv_owner_encode_crashes (job));
-      store_record (sim, job, IV_KEY_PROGRESS, iv_owner_encode_progress (job));
+      if (g_strcmp0 (job->id, sim->unstorable_job) == 0)
+        iv_owner_record_failed (sim->owner, job, sim->unstorable_for_good);
+      else
+        iv_owner_encode_records (sim->owner, job, store_record, sim);
     }
   iv_owner_records_stored (sim->owner, batch);
   g_ptr_array_free (jobs, TRUE);
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -93,6 +93,8 @@
   gboolean confirmed;            /**< the owner is told that nobody else can own the cell */
   gint64 authority_ms;           /**< each tick permits the owner to act for this long */
   gboolean store_records;        /**< progress records are stored */
+  const char *unstorable_job;    /**< progress records of this job are not; NULL: of none... */
+  gboolean unstorable_for_good;  /**< ...because they are too large, not for want of the store */
   gboolean store_rosters;        /**< rosters are stored */
   GByteArray *roster;            /**< newest roster; NULL: none */
   gboolean stalled;              /**< no run makes progress */
