Open no more occurrences of a schedule than its record holds

A job opens as many occurrences as its record holds, by count, bytes and tasks; the rest waits in order of its due time. A closed occurrence keeps its place until a record that tells so is stored, as the next owner opens it again. Runs and ends that a worker lists open their occurrence: the clock of the previous owner may have been ahead. Occurrences are found by bisection, and one that has ended is closed without a walk over the others.

--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -6,6 +6,12 @@
    newer, and later each time: that cell may lack something else than cores. */
 #define DELEGATE_AGAIN_MS 2000
 
+/* Encoded sizes: of a progress record without occurrences, of an occurrence without steps, and of a
+   step without tasks. */
+#define PROGRESS_BYTES 20
+#define OCCURRENCE_BYTES 8
+#define STEP_BYTES 8
+
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
 {
@@ -139,15 +145,39 @@
   occurrence->stages_done += stage_ended (stage);
 }
 
+/* Place of an occurrence in `open`, which is in order of the numbers; FALSE when it is not open. */
+static gboolean
+find_open (const struct iv_job_exec *exec, guint number, guint *place)
+{
+  guint begin = 0;
+  guint end = exec->open->len;
+  while (begin < end)
+    {
+      guint middle = begin + (end - begin) / 2;
+      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, middle);
+      if (occurrence->number < number)
+        begin = middle + 1;
+      else
+        end = middle;
+    }
+  *place = begin;
+  return begin < exec->open->len
+         && ((const struct iv_occurrence *)g_ptr_array_index (exec->open, begin))->number == number;
+}
+
 static void
 load_occurrence (struct iv_job_exec *exec, const ivj_occurrence *progress)
 {
-  struct iv_occurrence *occurrence = occurrence_new (&exec->job->spec, progress->number);
   guint count = MIN (exec->job->spec.steps.steps_len, progress->steps.steps_len);
+  struct iv_occurrence *occurrence;
+  guint place;
+  if (find_open (exec, progress->number, &place))
+    return;
+  occurrence = occurrence_new (&exec->job->spec, progress->number);
   for (guint i = 0; i < count; i++)
     load_stage (occurrence, &occurrence->stages[i], &progress->steps.steps_val[i]);
   apply_delegations (exec, occurrence, exec->first_seen_ms);
-  g_ptr_array_add (exec->open, occurrence);
+  g_ptr_array_insert (exec->open, (gint)place, occurrence);
   exec->opened = MAX (exec->opened, progress->number + 1);
 }
 
@@ -171,6 +201,24 @@
     }
 }
 
+/* How many occurrences may be open at once: the progress record holds them all, and a schedule
+   takes no more memory than the largest job without one. */
+static guint
+open_max (const ivj_job *spec)
+{
+  guint tasks = 0;
+  guint bytes = OCCURRENCE_BYTES;
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    {
+      guint count = spec->steps.steps_val[i].count;
+      tasks += count;
+      bytes += STEP_BYTES + ((count + 7) / 8 + 3) / 4 * 4;
+    }
+  return CLAMP (
+      MIN (IVJ_TASKS_MAX / MAX (tasks, 1), (IV_RECORD_MAX_BYTES - PROGRESS_BYTES) / bytes), 1,
+      IVJ_OPEN_MAX);
+}
+
 static struct iv_job_exec *
 exec_new (struct iv_job_entry *job, gint guest_cell, gint64 now_ms)
 {
@@ -179,6 +227,7 @@
   exec->guest_cell = guest_cell;
   exec->open = g_ptr_array_new ();
   exec->opened = job->progress.opened;
+  exec->open_max = open_max (&job->spec);
   exec->first_seen_ms = now_ms;
   exec->last_placed_ms = now_ms;
   exec->evacuate_to = -1;
@@ -259,34 +308,60 @@
   return MAX (spec->times, 1);
 }
 
+static void
+open_next (struct iv_job_exec *exec)
+{
+  struct iv_occurrence *occurrence = occurrence_new (&exec->job->spec, exec->opened);
+  apply_delegations (exec, occurrence, exec->first_seen_ms);
+  g_ptr_array_add (exec->open, occurrence);
+  exec->opened++;
+}
+
+static gboolean
+is_next_due (const struct iv_job_exec *exec, gint64 wall_ms)
+{
+  const ivj_job *spec = &exec->job->spec;
+  return exec->opened < occurrence_count (spec)
+         && (spec->times == 0
+             || spec->first_ms + (gint64)exec->opened * spec->interval_ms <= wall_ms);
+}
+
 gboolean
 iv_job_exec_open_due (struct iv_job_exec *exec, gint64 wall_ms)
 {
-  const ivj_job *spec = &exec->job->spec;
-  gboolean opened_any = FALSE;
-  while (
-      exec->opened < occurrence_count (spec)
-      && (spec->times == 0 || spec->first_ms + (gint64)exec->opened * spec->interval_ms <= wall_ms))
-    {
-      struct iv_occurrence *occurrence = occurrence_new (spec, exec->opened);
-      apply_delegations (exec, occurrence, exec->first_seen_ms);
-      g_ptr_array_add (exec->open, occurrence);
-      exec->opened++;
-      opened_any = TRUE;
-    }
-  return opened_any;
+  guint opened = exec->opened;
+  while (is_next_due (exec, wall_ms) && exec->open->len + exec->unstored_closes < exec->open_max)
+    open_next (exec);
+  return exec->opened > opened;
+}
+
+void
+iv_job_exec_open_listed (struct iv_job_exec *exec, guint number)
+{
+  if (number >= occurrence_count (&exec->job->spec) || number >= exec->opened + exec->open_max)
+    return;
+  while (exec->opened <= number)
+    open_next (exec);
+}
+
+void
+iv_job_exec_collected (struct iv_job_exec *exec)
+{
+  exec->collected_closes = exec->unstored_closes;
+}
+
+void
+iv_job_exec_stored (struct iv_job_exec *exec)
+{
+  exec->unstored_closes -= exec->collected_closes;
+  exec->collected_closes = 0;
 }
 
 struct iv_occurrence *
 iv_job_exec_occurrence (const struct iv_job_exec *exec, guint number)
 {
-  for (guint i = 0; i < exec->open->len; i++)
-    {
-      struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-      if (occurrence->number == number)
-        return occurrence;
-    }
-  return NULL;
+  guint place;
+  return find_open (exec, number, &place) ? g_ptr_array_index (exec->open, place) : NULL;
 }
 
 struct iv_job_task *
@@ -318,17 +393,19 @@
 }
 
 static void
-close_occurrences (struct iv_job_exec *exec)
+close_occurrence (struct iv_job_exec *exec, guint number)
 {
   guint steps = exec->job->spec.steps.steps_len;
-  for (guint i = exec->open->len; i-- > 0;)
-    {
-      struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-      if (occurrence->stages_done < steps)
-        continue;
-      occurrence_free (occurrence, steps);
-      g_ptr_array_remove_index (exec->open, i);
-    }
+  struct iv_occurrence *occurrence;
+  guint place;
+  if (!find_open (exec, number, &place))
+    return;
+  occurrence = g_ptr_array_index (exec->open, place);
+  if (occurrence->stages_done < steps)
+    return;
+  g_ptr_array_remove_index (exec->open, place);
+  occurrence_free (occurrence, steps);
+  exec->unstored_closes++;
 }
 
 void
@@ -344,7 +421,7 @@
   if (!stage_ended (stage))
     return;
   iv_job_exec_occurrence (exec, name->occurrence)->stages_done++;
-  close_occurrences (exec);
+  close_occurrence (exec, name->occurrence);
 }
 
 gboolean
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -77,6 +77,11 @@
   gint guest_cell;        /**< the cell that tasks of the job were delegated to; -1: its own */
   GPtrArray *open;        /**< of struct iv_occurrence, by ascending number */
   guint opened;           /**< occurrences opened so far */
+  guint open_max;         /**< occurrences that may be open at once */
+  /** Occurrences that were closed since the newest record that is stored. The next owner opens them
+   *  again, beside others only if it has room for all. */
+  guint unstored_closes;
+  guint collected_closes; /**< those of them that a record that is being stored tells of */
   gboolean needs_record;  /**< progress has changed since it was last recorded */
   gboolean started;       /**< a task of it may have started: a start was sent, or a worker told */
   gboolean inherited;     /**< a previous owner may have started tasks of it */
@@ -120,9 +125,18 @@
 /** Detach @a exec from its job and free it. */
 void iv_job_exec_free (struct iv_job_exec *exec);
 
-/** Open the occurrences that are due at @a wall_ms. TRUE when any were opened. */
+/** Open the occurrences that are due at @a wall_ms, in order, as far as the progress record has
+ * room for them. TRUE when any were opened. */
 gboolean iv_job_exec_open_due (struct iv_job_exec *exec, gint64 wall_ms);
 
+/** A worker has listed a task of occurrence @a number: a previous owner has opened it. Ignored when
+ *  no owner can have. */
+void iv_job_exec_open_listed (struct iv_job_exec *exec, guint number);
+
+/** The progress record was encoded, to be stored; and it was stored. */
+void iv_job_exec_collected (struct iv_job_exec *exec);
+void iv_job_exec_stored (struct iv_job_exec *exec);
+
 /** Find an open occurrence by @a number; NULL when there is none. */
 struct iv_occurrence *iv_job_exec_occurrence (const struct iv_job_exec *exec, guint number);
 
--- a/jobs/owner_records.c
+++ b/jobs/owner_records.c
@@ -34,6 +34,8 @@
 iv_owner_record_failed (struct iv_owner *owner, struct iv_job_entry *job, gboolean permanent)
 {
   job->unstored = TRUE;
+  if (job->exec)
+    job->exec->collected_closes = 0;
   /* Tasks under suspicion wait for a later collection. */
   if (job->exec && job->exec->has_crashes)
     {
@@ -101,7 +103,10 @@
 {
   ivj_progress ended = { .state = job->live_state, .ended_ms = job->live_ended_ms };
   if (job->exec)
-    return iv_job_exec_encode (job->exec);
+    {
+      iv_job_exec_collected (job->exec);
+      return iv_job_exec_encode (job->exec);
+    }
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
 }
 
@@ -171,4 +176,10 @@
   g_hash_table_iter_init (&iter, owner->fleet->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     confirm_ends (owner, value, batch);
+  for (guint i = 0; i < owner->execs->len; i++)
+    {
+      struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
+      if (!exec->job->unstored)
+        iv_job_exec_stored (exec);
+    }
 }
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -252,13 +252,23 @@
          && (exec->job->spec.steps.steps_val[name->step].flags & IVJ_LONG_RUNNING);
 }
 
+/* Execution state of the job of a task that a worker has listed. */
+static struct iv_job_exec *
+find_listed_exec (struct iv_owner *owner, const struct iv_task_name *name)
+{
+  struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
+  if (exec)
+    iv_job_exec_open_listed (exec, name->occurrence);
+  return exec;
+}
+
 static void
 handle_end (struct iv_owner *owner, struct iv_fleet_worker *worker, const struct iv_listed_end *end,
             gint64 now_ms)
 {
   struct iv_run *run = iv_run_find (worker, &end->name, end->number);
   gboolean was_known = run != NULL;
-  struct iv_job_exec *exec = iv_owner_find_exec (owner, &end->name);
+  struct iv_job_exec *exec = find_listed_exec (owner, &end->name);
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &end->name, NULL) : NULL;
   if (end->reason != IV_END_DONE)
     iv_event (IV_LEVEL_INFO, "run.ended",
@@ -296,7 +306,7 @@
 adopt (struct iv_owner *owner, struct iv_fleet_worker *worker, const struct iv_listed_run *listed,
        gint64 now_ms)
 {
-  struct iv_job_exec *exec = iv_owner_find_exec (owner, &listed->name);
+  struct iv_job_exec *exec = find_listed_exec (owner, &listed->name);
   struct iv_stage *stage = NULL;
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &listed->name, &stage) : NULL;
   struct iv_run *run
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -121,15 +121,16 @@
   GPtrArray *advice_worker_ids; /**< of char *: worker ids in that query */
   guint advice_queries;
   gboolean (*is_deadly) (
-      const struct iv_task_name *name); /**< crashes its worker; NULL: none does */
-  guint deadly_starts[SIM_DEADLY_MAX];  /**< by index of the deadly task */
-  guint beside_suspect;                 /**< starts on a worker that holds such a task */
-  gint64 crash_after_ms;                /**< from the start of a deadly task to the crash */
-  gint64 run_ms;      /**< tasks that are not deadly end as done after this; 0: never */
-  guint no_ticket;    /**< starts that were refused for lack of a ticket */
-  guint attempts;     /**< failed runs of a task that end its job */
-  GPtrArray *calls;   /**< of struct sim_call */
-  guint start_credit; /**< starts that each dispatch may send */
+      const struct iv_task_name *name);              /**< crashes its worker; NULL: none does */
+  void (*started) (const struct iv_task_name *name); /**< told of each start; NULL: nobody */
+  guint deadly_starts[SIM_DEADLY_MAX];               /**< by index of the deadly task */
+  guint beside_suspect;  /**< starts on a worker that holds such a task */
+  gint64 crash_after_ms; /**< from the start of a deadly task to the crash */
+  gint64 run_ms;         /**< tasks that are not deadly end as done after this; 0: never */
+  guint no_ticket;       /**< starts that were refused for lack of a ticket */
+  guint attempts;        /**< failed runs of a task that end its job */
+  GPtrArray *calls;      /**< of struct sim_call */
+  guint start_credit;    /**< starts that each dispatch may send */
   guint start_calls;
   guint over_capacity;  /**< starts that brought a worker over its capacity */
   guint refused_starts; /**< starts that a worker refused for lack of capacity */
--- a/jobs/tests/bench_worker.c
+++ b/jobs/tests/bench_worker.c
@@ -136,6 +136,8 @@
     }
   sim->beside_suspect += worker->holds_suspect;
   g_array_append_val (worker->runs, run);
+  if (sim->started)
+    sim->started (&call->name);
   note_deadly_start (sim, worker, &call->name);
   return IV_COMMAND_OK;
 }
--- a/jobs/tests/records_test.c
+++ b/jobs/tests/records_test.c
@@ -65,11 +65,184 @@
     }
 }
 
+#define DUE 3000
+
+static guint starts[DUE];
+
+static void
+count_start (const struct iv_task_name *name)
+{
+  starts[name->occurrence]++;
+}
+
+/* Submits a schedule of @a times occurrences, all of them due, of a short task each. */
+static void
+submit_schedule (struct sim *sim, guint times)
+{
+  sim_make_job (1, 0);
+  sim_steps[0].cpu_milli = 50;
+  sim_spec.times = times;
+  sim_spec.interval_ms = 1;
+  sim_submit (sim, JOB_ID, &sim_spec);
+}
+
+/* Guards against occurrences that run again after a hand-over: with more of them due than a record
+   holds, none of their ends was recorded. */
+static void
+test_due_occurrences_run_once_across_hand_overs (void **state)
+{
+  struct sim *sim = sim_new (8);
+  const struct iv_job_entry *job;
+  memset (starts, 0, sizeof starts);
+  sim->started = count_start;
+  sim->run_ms = 300;
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  submit_schedule (sim, DUE);
+  job = iv_job_table_find (sim->job_table, JOB_ID);
+  for (guint round = 0; round < 4; round++)
+    {
+      sim_advance (sim, 350 + 130 * round);
+      /* What ends from here on is known to no record when the owner changes. */
+      sim->store_records = FALSE;
+      sim_advance (sim, 400);
+      sim->store_records = TRUE;
+      sim_start_owner (sim);
+      for (guint i = 0; i < 20; i++)
+        {
+          sim_advance (sim, 10);
+          assert_true (job->exec == NULL || job->exec->open->len <= IVJ_OPEN_MAX);
+        }
+    }
+  sim_advance (sim, 60000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  for (guint i = 0; i < DUE; i++)
+    assert_int_equal (starts[i], 1);
+  sim_free (sim);
+}
+
+/* Guards against an occurrence that runs again because the clock of the next owner is behind: it is
+   not due there yet when a worker lists its end. */
+static void
+test_next_owner_with_a_clock_behind_opens_what_has_run (void **state)
+{
+  struct sim *sim = sim_new (2);
+  memset (starts, 0, sizeof starts);
+  sim->started = count_start;
+  sim->run_ms = 100;
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  sim_make_job (1, 0);
+  sim_spec.times = 4;
+  sim_spec.first_ms = sim->wall_ms;
+  sim_spec.interval_ms = 1000;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 950);
+  sim->store_records = FALSE;
+  sim_advance (sim, 250);
+  assert_int_equal (starts[1], 1);
+  sim->store_records = TRUE;
+  sim->wall_ms -= 400;
+  sim_start_owner (sim);
+  sim_advance (sim, 12000);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_COMPLETED);
+  for (guint i = 0; i < sim_spec.times; i++)
+    assert_int_equal (starts[i], 1);
+  sim_free (sim);
+}
+
+/* Guards against a schedule that takes all memory and stops its cell: whatever is due, only what
+   the record holds is open. Other jobs go on beside it. */
+static void
+test_schedule_opens_what_its_record_holds (void **state)
+{
+  struct sim *sim = sim_new (2);
+  const struct iv_job_entry *job;
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  submit_schedule (sim, 50000);
+  sim->run_ms = 300;
+  sim_advance (sim, 5000);
+  job = iv_job_table_find (sim->job_table, JOB_ID);
+  assert_int_equal (sim_job_state (sim, JOB_ID), IVJ_RUNNING);
+  assert_in_range (job->exec->open->len, 1, IVJ_OPEN_MAX);
+  sim_make_job (2, 0);
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 3000);
+  assert_int_equal (sim_job_state (sim, OTHER_JOB_ID), IVJ_COMPLETED);
+  sim_free (sim);
+}
+
+static void
+end_occurrences (struct iv_job_exec *exec, guint first, guint count)
+{
+  struct iv_task_name name = { .job = JOB_ID };
+  for (name.occurrence = first; name.occurrence < first + count; name.occurrence++)
+    iv_job_exec_task_done (exec, &name);
+}
+
+/* Guards against records that are too large for the next owner: it opens again what was closed
+   since the newest record, beside all that it finds running. */
+static void
+test_closed_occurrences_count_until_that_is_stored (void **state)
+{
+  ivj_step step = { .count = 1 };
+  struct iv_job_entry job = { .spec = { .times = 5000, .steps = { 1, &step } } };
+  struct iv_job_exec *exec = iv_job_exec_new (&job, 0);
+  assert_true (iv_job_exec_open_due (exec, 1));
+  assert_int_equal (exec->opened, IVJ_OPEN_MAX);
+  end_occurrences (exec, 0, 200);
+  assert_false (iv_job_exec_open_due (exec, 1));
+  iv_job_exec_collected (exec);
+  end_occurrences (exec, 200, 100);
+  assert_false (iv_job_exec_open_due (exec, 1));
+  iv_job_exec_stored (exec);
+  assert_true (iv_job_exec_open_due (exec, 1));
+  assert_int_equal (exec->opened, IVJ_OPEN_MAX + 200);
+  iv_job_exec_free (exec);
+}
+
+/* Whatever schedule is accepted, its record fits with all that is open. */
+static void
+test_record_holds_what_is_open (void **state)
+{
+  GRand *rand = g_rand_new_with_seed (39);
+  for (guint round = 0; round < 300; round++)
+    {
+      ivj_step steps[IVJ_STEPS_MAX];
+      struct iv_job_entry job = { .spec = { .times = 5000, .steps = { 0, steps } } };
+      guint left = IVJ_TASKS_MAX;
+      struct iv_job_exec *exec;
+      GByteArray *bytes;
+      memset (steps, 0, sizeof steps);
+      job.spec.steps.steps_len
+          = (guint)g_rand_int_range (rand, 1, round % 2 ? 4 : IVJ_STEPS_MAX + 1);
+      for (guint i = 0; i < job.spec.steps.steps_len; i++)
+        {
+          guint most = MIN (left - (job.spec.steps.steps_len - i - 1), 1u << (round % 15));
+          steps[i].count = (guint)g_rand_int_range (rand, 1, (gint)most + 1);
+          left -= steps[i].count;
+        }
+      exec = iv_job_exec_new (&job, 0);
+      assert_true (iv_job_exec_open_due (exec, 1));
+      bytes = iv_job_exec_encode (exec);
+      assert_non_null (bytes);
+      g_byte_array_free (bytes, TRUE);
+      iv_job_exec_free (exec);
+    }
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_ends_without_a_record_are_not_confirmed),
+    cmocka_unit_test (test_due_occurrences_run_once_across_hand_overs),
+    cmocka_unit_test (test_next_owner_with_a_clock_behind_opens_what_has_run),
+    cmocka_unit_test (test_schedule_opens_what_its_record_holds),
+    cmocka_unit_test (test_closed_occurrences_count_until_that_is_stored),
+    cmocka_unit_test (test_record_holds_what_is_open),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
