--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -48,6 +48,7 @@
   task->crashes_seen = 0;
   task->crashes_alone = 0;
   task->start_announced = FALSE;
+  task->crashes_recorded = FALSE;
   exec->needs_record = TRUE;
   iv_owner_queue_record (owner, exec);
 }
@@ -225,8 +226,7 @@
   if (exec->guest_cell >= 0)
     return;
   exec->has_crashes = TRUE;
-  exec->crash_batch = owner->batch + 1;
-  owner->crash_batch = exec->crash_batch;
+  iv_owner_await_batch (owner, exec, owner->batch + 1);
   exec->needs_record = TRUE;
   iv_owner_queue_record (owner, exec);
 }
@@ -371,7 +371,8 @@
                     const struct iv_job_task *task)
 {
   return task->crashes == 0
-         || (!exec->hopeless && exec->guest_cell < 0 && owner->stored_batch >= exec->crash_batch);
+         || (!exec->hopeless && exec->guest_cell < 0 && task->crashes_recorded
+             && owner->stored_batch >= exec->crash_batch);
 }
 
 gboolean
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -12,6 +12,9 @@
 #define OCCURRENCE_BYTES 8
 #define STEP_BYTES 8
 
+/* Suspects that fit into a record: a row has 28 bytes. */
+#define CRASHES_MAX ((IV_RECORD_MAX_BYTES - 4) / 28)
+
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
 {
@@ -197,6 +200,7 @@
       task->crashes_seen = crash->seen;
       task->crashes_alone = crash->alone;
       task->start_announced = crash->announced;
+      task->crashes_recorded = TRUE;
       exec->has_crashes = TRUE;
     }
 }
@@ -534,38 +538,67 @@
   return bytes;
 }
 
-static void
-pack_crashes (const struct iv_occurrence *occurrence, const struct iv_stage *stage, GArray *rows)
+static gboolean
+is_suspect (const struct iv_job_task *task)
+{
+  return task->crashes > 0 && task->state != IV_JOB_TASK_DONE;
+}
+
+/* Whether a next owner must find the count of @a task: it may have been started since. */
+static gboolean
+may_have_started (const struct iv_job_task *task)
+{
+  return task->start_announced || task->state == IV_JOB_TASK_PLACED;
+}
+
+/* Packs the suspects of @a stage that may have started, or those that have not, while there is room
+   for them. TRUE when one was packed whose count is in no record yet. */
+static gboolean
+pack_crashes (const struct iv_occurrence *occurrence, struct iv_stage *stage, gboolean started,
+              GArray *rows)
 {
+  gboolean packed_new = FALSE;
   for (guint i = 0; i < stage->step->count; i++)
     {
-      const struct iv_job_task *task = &stage->tasks[i];
+      struct iv_job_task *task = &stage->tasks[i];
       ivj_crash row
           = { occurrence->number,  stage->number,        i, task->crashes, task->crashes_seen,
               task->crashes_alone, task->start_announced };
-      if (task->crashes > 0 && task->state != IV_JOB_TASK_DONE)
-        g_array_append_val (rows, row);
+      if (!is_suspect (task) || may_have_started (task) != started)
+        continue;
+      if (rows->len == CRASHES_MAX)
+        {
+          task->crashes_recorded = FALSE;
+          continue;
+        }
+      packed_new |= !task->crashes_recorded;
+      task->crashes_recorded = TRUE;
+      g_array_append_val (rows, row);
     }
+  return packed_new;
 }
 
 GByteArray *
-iv_job_exec_encode_crashes (const struct iv_job_exec *exec)
+iv_job_exec_encode_crashes (struct iv_job_exec *exec, gboolean *packed_new)
 {
   ivj_crashes packed = { 0 };
   GByteArray *bytes;
   GArray *rows;
+  *packed_new = FALSE;
   if (!exec->has_crashes)
     return NULL;
   rows = g_array_new (FALSE, FALSE, sizeof (ivj_crash));
-  for (guint i = 0; i < exec->open->len; i++)
-    {
-      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-      for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
-        pack_crashes (occurrence, &occurrence->stages[j], rows);
-    }
+  for (guint started = 2; started-- > 0;)
+    for (guint i = 0; i < exec->open->len; i++)
+      {
+        struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
+        for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
+          *packed_new |= pack_crashes (occurrence, &occurrence->stages[j], started > 0, rows);
+      }
   packed.tasks.tasks_len = rows->len;
   packed.tasks.tasks_val = (ivj_crash *)(void *)rows->data;
   bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_crashes, &packed, IV_RECORD_MAX_BYTES);
+  g_assert (bytes != NULL);
   g_array_free (rows, TRUE);
   return bytes;
 }
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -25,18 +25,19 @@
 struct iv_job_task
 {
   enum iv_job_task_state state;
-  gint64 run;               /**< highest run number that a start of this task has used */
-  gint64 placed_run;        /**< number of the run that it is placed as; 0: it is not placed */
-  gint64 not_before_ms;     /**< monotonic clock; earliest next start after a failure */
-  guint failures;           /**< failed runs, each counted once */
-  gint64 *failed_runs;      /**< numbers of these runs: workers report ends in any order */
-  guint crashes;            /**< crashes that it is suspected of since it last survived a start */
-  gboolean start_announced; /**< the stored count says that it may have been started since */
-  guint crashes_seen;       /**< those of them that it was seen to have started before */
-  guint crashes_alone;      /**< those in which it was the only suspect, too */
-  guint32 avoid_worker;     /**< handle of the worker on which it last failed; 0: none */
-  gboolean runs_known;      /**< no previous owner can have started it, nor learn that it ended */
-  char *checkpoint;         /**< to resume from; NULL: start from the beginning */
+  gint64 run;                /**< highest run number that a start of this task has used */
+  gint64 placed_run;         /**< number of the run that it is placed as; 0: it is not placed */
+  gint64 not_before_ms;      /**< monotonic clock; earliest next start after a failure */
+  guint failures;            /**< failed runs, each counted once */
+  gint64 *failed_runs;       /**< numbers of these runs: workers report ends in any order */
+  guint crashes;             /**< crashes that it is suspected of since it last survived a start */
+  gboolean start_announced;  /**< the stored count says that it may have been started since */
+  gboolean crashes_recorded; /**< its counts are in the newest record; it waits until they are */
+  guint crashes_seen;        /**< those of them that it was seen to have started before */
+  guint crashes_alone;       /**< those in which it was the only suspect, too */
+  guint32 avoid_worker;      /**< handle of the worker on which it last failed; 0: none */
+  gboolean runs_known;       /**< no previous owner can have started it, nor learn that it ended */
+  char *checkpoint;          /**< to resume from; NULL: start from the beginning */
   guint delegation_sent; /**< generation of its record that was sent, and not read yet; 0: none */
   /** Monotonic clock; it came to this cell lately, and is not delegated or returned earlier. */
   gint64 delegate_not_before_ms;
@@ -172,9 +173,10 @@
  *  g_byte_array_unref(). */
 GByteArray *iv_job_exec_encode (const struct iv_job_exec *exec);
 
-/** Encode the record of the crashes that tasks of the job are suspected of. NULL when none ever
- * was, or the record is too large. */
-GByteArray *iv_job_exec_encode_crashes (const struct iv_job_exec *exec);
+/** Encode the record of the crashes that tasks of the job are suspected of; NULL when none ever
+ * was. Suspects that do not fit wait for others to be cleared: see `crashes_recorded`. Sets
+ *  @a packed_new when a suspect was not in the record before. */
+GByteArray *iv_job_exec_encode_crashes (struct iv_job_exec *exec, gboolean *packed_new);
 
 /** Length of the critical path of @a spec by estimated run times, milliseconds. */
 gint64 iv_job_critical_path_ms (const ivj_job *spec);
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -190,6 +190,9 @@
 /** Queue the job of @a exec for recording when its progress changed. */
 void iv_owner_queue_record (struct iv_owner *owner, struct iv_job_exec *exec);
 
+/** Tasks of @a exec that are under suspicion wait until collection @a batch is stored. */
+void iv_owner_await_batch (struct iv_owner *owner, struct iv_job_exec *exec, guint64 batch);
+
 /** The progress of @a job is recorded by another cell from now on. */
 void iv_owner_forget_record (struct iv_owner *owner, struct iv_job_entry *job);
 
--- a/jobs/owner_records.c
+++ b/jobs/owner_records.c
@@ -30,18 +30,21 @@
   job->unstored = FALSE;
 }
 
+void
+iv_owner_await_batch (struct iv_owner *owner, struct iv_job_exec *exec, guint64 batch)
+{
+  exec->crash_batch = MAX (exec->crash_batch, batch);
+  owner->crash_batch = MAX (owner->crash_batch, batch);
+}
+
 void
 iv_owner_record_failed (struct iv_owner *owner, struct iv_job_entry *job, gboolean permanent)
 {
   job->unstored = TRUE;
   if (job->exec)
     job->exec->collected_closes = 0;
-  /* Tasks under suspicion wait for a later collection. */
   if (job->exec && job->exec->has_crashes)
-    {
-      job->exec->crash_batch = owner->batch + 1;
-      owner->crash_batch = job->exec->crash_batch;
-    }
+    iv_owner_await_batch (owner, job->exec, owner->batch + 1);
   if (!permanent)
     queue_job (owner, job);
 }
@@ -110,6 +113,17 @@
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
 }
 
+/* A suspect whose count was not in a record before waits for this collection. */
+static GByteArray *
+encode_crashes (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  gboolean packed_new;
+  GByteArray *bytes = iv_job_exec_encode_crashes (exec, &packed_new);
+  if (packed_new)
+    iv_owner_await_batch (owner, exec, owner->batch);
+  return bytes;
+}
+
 static void
 emit_record (const struct iv_job_entry *job, const char *suffix, GByteArray *bytes,
              iv_owner_record_fn emit, void *context)
@@ -134,7 +148,7 @@
       return FALSE;
     }
   if (job->exec)
-    emit_record (job, IV_KEY_CRASHES, iv_job_exec_encode_crashes (job->exec), emit, context);
+    emit_record (job, IV_KEY_CRASHES, encode_crashes (owner, job->exec), emit, context);
   emit_record (job, "", iv_job_encode_ended (job), emit, context);
   emit_record (job, IV_KEY_PROGRESS, progress, emit, context);
   return TRUE;
--- a/jobs/tests/records_test.c
+++ b/jobs/tests/records_test.c
@@ -1,5 +1,8 @@
 #include "bench_job.h"
 
+#include "crash.h"
+#include "owner_private.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -202,6 +205,62 @@
   iv_job_exec_free (exec);
 }
 
+static guint
+count_recorded (const struct iv_job_exec *exec)
+{
+  const struct iv_stage *stage = &iv_job_exec_occurrence (exec, 0)->stages[0];
+  guint count = 0;
+  for (guint i = 0; i < stage->step->count; i++)
+    count += stage->tasks[i].crashes > 0 && stage->tasks[i].crashes_recorded;
+  return count;
+}
+
+/* Guards against suspects that start though no record holds their count, as there are too many for
+   one: they wait until others are cleared, and those that have started are never left out. */
+static void
+test_suspects_wait_for_room_in_their_record (void **state)
+{
+  enum
+  {
+    SUSPECTS = 10000,
+    LATER = 9000
+  };
+  ivj_step step = { .count = SUSPECTS };
+  struct iv_job_entry job = { .spec = { .steps = { 1, &step } } };
+  struct iv_job_exec *exec = iv_job_exec_new (&job, 0);
+  const struct iv_owner owner = { .stored_batch = 1 };
+  struct iv_job_task *tasks;
+  GByteArray *bytes;
+  gboolean packed_new;
+  guint most;
+  assert_true (iv_job_exec_open_due (exec, 1));
+  tasks = iv_job_exec_occurrence (exec, 0)->stages[0].tasks;
+  for (guint i = 0; i < SUSPECTS; i++)
+    tasks[i].crashes = 1;
+  tasks[LATER].start_announced = TRUE;
+  exec->has_crashes = TRUE;
+  bytes = iv_job_exec_encode_crashes (exec, &packed_new);
+  assert_non_null (bytes);
+  assert_true (packed_new);
+  g_byte_array_free (bytes, TRUE);
+  most = count_recorded (exec);
+  assert_in_range (most, 1, SUSPECTS - 1);
+  assert_true (iv_crash_may_start (&owner, exec, &tasks[0]));
+  assert_true (iv_crash_may_start (&owner, exec, &tasks[LATER]));
+  assert_false (iv_crash_may_start (&owner, exec, &tasks[most]));
+  for (guint i = 0; i < 100; i++)
+    tasks[i].crashes = 0;
+  bytes = iv_job_exec_encode_crashes (exec, &packed_new);
+  assert_true (packed_new);
+  g_byte_array_free (bytes, TRUE);
+  assert_int_equal (count_recorded (exec), most);
+  assert_true (iv_crash_may_start (&owner, exec, &tasks[most]));
+  bytes = iv_job_exec_encode_crashes (exec, &packed_new);
+  assert_false (packed_new);
+  g_byte_array_free (bytes, TRUE);
+  iv_job_exec_free (exec);
+}
+
 /* Whatever schedule is accepted, its record fits with all that is open. */
 static void
 test_record_holds_what_is_open (void **state)
@@ -242,6 +301,7 @@
     cmocka_unit_test (test_next_owner_with_a_clock_behind_opens_what_has_run),
     cmocka_unit_test (test_schedule_opens_what_its_record_holds),
     cmocka_unit_test (test_closed_occurrences_count_until_that_is_stored),
+    cmocka_unit_test (test_suspects_wait_for_room_in_their_record),
     cmocka_unit_test (test_record_holds_what_is_open),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
