Store failed runs that the progress record has no room for in records of their own

Failed runs beyond go to records of failures, as many as they need, stored with the progress record.

--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -6,15 +6,6 @@
    newer, and later each time: that cell may lack something else than cores. */
 #define DELEGATE_AGAIN_MS 2000
 
-/* Encoded sizes: of a progress record without occurrences, of an occurrence without steps, and of a
-   step without tasks. */
-#define PROGRESS_BYTES 20
-#define OCCURRENCE_BYTES 8
-#define STEP_BYTES 8
-
-/* Suspects that fit into a record: a row has 28 bytes. */
-#define CRASHES_MAX ((IV_RECORD_MAX_BYTES - 4) / 28)
-
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
 {
@@ -127,6 +118,21 @@
   task->failed_runs[task->failures++] = run;
 }
 
+/* A run is counted once, however often it is recorded. */
+static void
+load_failures (struct iv_stage *stage, const ivj_step_progress *progress)
+{
+  for (guint i = 0; i < progress->failures.failures_len; i++)
+    {
+      const ivj_failure *failure = &progress->failures.failures_val[i];
+      if (failure->index >= stage->step->count)
+        continue;
+      for (guint j = 0; j < failure->runs.runs_len; j++)
+        if (!failure_counted (&stage->tasks[failure->index], failure->runs.runs_val[j]))
+          add_failure (&stage->tasks[failure->index], failure->runs.runs_val[j]);
+    }
+}
+
 static void
 load_stage (struct iv_occurrence *occurrence, struct iv_stage *stage,
             const ivj_step_progress *progress)
@@ -137,14 +143,7 @@
         stage->tasks[i].state = IV_JOB_TASK_DONE;
         stage->done++;
       }
-  for (guint i = 0; i < progress->failures.failures_len; i++)
-    {
-      const ivj_failure *failure = &progress->failures.failures_val[i];
-      if (failure->index >= stage->step->count)
-        continue;
-      for (guint j = 0; j < failure->runs.runs_len; j++)
-        add_failure (&stage->tasks[failure->index], failure->runs.runs_val[j]);
-    }
+  load_failures (stage, progress);
   occurrence->stages_done += stage_ended (stage);
 }
 
@@ -184,6 +183,21 @@
   exec->opened = MAX (exec->opened, progress->number + 1);
 }
 
+/* Records of failures may be older than the progress record: failures of an open occurrence stay.
+ */
+static void
+load_further_failures (struct iv_job_exec *exec, const ivj_progress *part)
+{
+  for (guint i = 0; part && i < part->open.open_len; i++)
+    {
+      const ivj_occurrence *row = &part->open.open_val[i];
+      struct iv_occurrence *occurrence = iv_job_exec_occurrence (exec, row->number);
+      guint steps = MIN (exec->job->spec.steps.steps_len, row->steps.steps_len);
+      for (guint j = 0; occurrence && j < steps; j++)
+        load_failures (&occurrence->stages[j], &row->steps.steps_val[j]);
+    }
+}
+
 static void
 load_crashes (struct iv_job_exec *exec)
 {
@@ -205,24 +219,6 @@
     }
 }
 
-/* How many occurrences may be open at once: the progress record holds them all, and a schedule
-   takes no more memory than the largest job without one. */
-static guint
-open_max (const ivj_job *spec)
-{
-  guint tasks = 0;
-  guint bytes = OCCURRENCE_BYTES;
-  for (guint i = 0; i < spec->steps.steps_len; i++)
-    {
-      guint count = spec->steps.steps_val[i].count;
-      tasks += count;
-      bytes += STEP_BYTES + ((count + 7) / 8 + 3) / 4 * 4;
-    }
-  return CLAMP (
-      MIN (IVJ_TASKS_MAX / MAX (tasks, 1), (IV_RECORD_MAX_BYTES - PROGRESS_BYTES) / bytes), 1,
-      IVJ_OPEN_MAX);
-}
-
 static struct iv_job_exec *
 exec_new (struct iv_job_entry *job, gint guest_cell, gint64 now_ms)
 {
@@ -231,13 +227,15 @@
   exec->guest_cell = guest_cell;
   exec->open = g_ptr_array_new ();
   exec->opened = job->progress.opened;
-  exec->open_max = open_max (&job->spec);
+  exec->open_max = iv_job_exec_open_max (&job->spec);
   exec->first_seen_ms = now_ms;
   exec->last_placed_ms = now_ms;
   exec->evacuate_to = -1;
   exec->run_floor = job->highest_run;
   for (guint i = 0; i < job->progress.open.open_len; i++)
     load_occurrence (exec, &job->progress.open.open_val[i]);
+  for (guint i = 0; job->failures && i < job->failures->len; i++)
+    load_further_failures (exec, g_ptr_array_index (job->failures, i));
   return exec;
 }
 
@@ -465,144 +463,6 @@
   return exec->open->len == 0 && exec->opened == occurrence_count (&exec->job->spec);
 }
 
-static void
-pack_stage (const struct iv_stage *stage, ivj_step_progress *out)
-{
-  guint bytes = (stage->step->count + 7) / 8;
-  guint failed = 0;
-  out->done.done_val = g_malloc0 (bytes);
-  out->done.done_len = stage->done > 0 ? bytes : 0;
-  out->failures.failures_val = g_new0 (ivj_failure, stage->step->count);
-  for (guint i = 0; i < stage->step->count; i++)
-    {
-      const struct iv_job_task *task = &stage->tasks[i];
-      if (task->state == IV_JOB_TASK_DONE)
-        out->done.done_val[i / 8] = (char)((guint8)out->done.done_val[i / 8] | (1u << (i % 8)));
-      else if (task->failures > 0)
-        {
-          ivj_failure *failure = &out->failures.failures_val[failed++];
-          failure->index = i;
-          failure->runs.runs_len = task->failures;
-          failure->runs.runs_val = (quad_t *)task->failed_runs;
-        }
-    }
-  out->failures.failures_len = failed;
-}
-
-static void
-pack_open (const struct iv_job_exec *exec, ivj_progress *out)
-{
-  guint steps = exec->job->spec.steps.steps_len;
-  out->open.open_len = exec->open->len;
-  out->open.open_val = g_new0 (ivj_occurrence, MAX (exec->open->len, 1));
-  for (guint i = 0; i < exec->open->len; i++)
-    {
-      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-      ivj_occurrence *row = &out->open.open_val[i];
-      row->number = occurrence->number;
-      row->steps.steps_len = steps;
-      row->steps.steps_val = g_new0 (ivj_step_progress, steps);
-      for (guint j = 0; j < steps; j++)
-        pack_stage (&occurrence->stages[j], &row->steps.steps_val[j]);
-    }
-}
-
-static void
-free_packed (ivj_progress *packed)
-{
-  for (guint i = 0; i < packed->open.open_len; i++)
-    {
-      ivj_occurrence *row = &packed->open.open_val[i];
-      for (guint j = 0; j < row->steps.steps_len; j++)
-        {
-          g_free (row->steps.steps_val[j].done.done_val);
-          g_free (row->steps.steps_val[j].failures.failures_val);
-        }
-      g_free (row->steps.steps_val);
-    }
-  g_free (packed->open.open_val);
-}
-
-GByteArray *
-iv_job_exec_encode (const struct iv_job_exec *exec)
-{
-  ivj_progress packed = { 0 };
-  GByteArray *bytes;
-  packed.state = exec->job->live_state;
-  packed.ended_ms = exec->job->live_ended_ms;
-  packed.opened = exec->opened;
-  if (!iv_job_state_is_final (packed.state))
-    pack_open (exec, &packed);
-  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &packed, IV_RECORD_MAX_BYTES);
-  free_packed (&packed);
-  return bytes;
-}
-
-static gboolean
-is_suspect (const struct iv_job_task *task)
-{
-  return task->crashes > 0 && task->state != IV_JOB_TASK_DONE;
-}
-
-/* Whether a next owner must find the count of @a task: it may have been started since. */
-static gboolean
-may_have_started (const struct iv_job_task *task)
-{
-  return task->start_announced || task->state == IV_JOB_TASK_PLACED;
-}
-
-/* Packs the suspects of @a stage that may have started, or those that have not, while there is room
-   for them. TRUE when one was packed whose count is in no record yet. */
-static gboolean
-pack_crashes (const struct iv_occurrence *occurrence, struct iv_stage *stage, gboolean started,
-              GArray *rows)
-{
-  gboolean packed_new = FALSE;
-  for (guint i = 0; i < stage->step->count; i++)
-    {
-      struct iv_job_task *task = &stage->tasks[i];
-      ivj_crash row
-          = { occurrence->number,  stage->number,        i, task->crashes, task->crashes_seen,
-              task->crashes_alone, task->start_announced };
-      if (!is_suspect (task) || may_have_started (task) != started)
-        continue;
-      if (rows->len == CRASHES_MAX)
-        {
-          task->crashes_recorded = FALSE;
-          continue;
-        }
-      packed_new |= !task->crashes_recorded;
-      task->crashes_recorded = TRUE;
-      g_array_append_val (rows, row);
-    }
-  return packed_new;
-}
-
-GByteArray *
-iv_job_exec_encode_crashes (struct iv_job_exec *exec, gboolean *packed_new)
-{
-  ivj_crashes packed = { 0 };
-  GByteArray *bytes;
-  GArray *rows;
-  *packed_new = FALSE;
-  if (!exec->has_crashes)
-    return NULL;
-  rows = g_array_new (FALSE, FALSE, sizeof (ivj_crash));
-  for (guint started = 2; started-- > 0;)
-    for (guint i = 0; i < exec->open->len; i++)
-      {
-        struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-        for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
-          *packed_new |= pack_crashes (occurrence, &occurrence->stages[j], started > 0, rows);
-      }
-  packed.tasks.tasks_len = rows->len;
-  packed.tasks.tasks_val = (ivj_crash *)(void *)rows->data;
-  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_crashes, &packed, IV_RECORD_MAX_BYTES);
-  g_assert (bytes != NULL);
-  g_array_free (rows, TRUE);
-  return bytes;
-}
-
 gint64
 iv_job_critical_path_ms (const ivj_job *spec)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -169,9 +169,14 @@
 /** Whether every occurrence of the job has been opened and closed. */
 gboolean iv_job_exec_complete (const struct iv_job_exec *exec);
 
-/** Encode the progress record of the job. NULL when it exceeds IV_RECORD_MAX_BYTES. Free with
- *  g_byte_array_unref(). */
-GByteArray *iv_job_exec_encode (const struct iv_job_exec *exec);
+/** How many occurrences of @a spec may be open at once: the progress record holds them all, and a
+ *  schedule takes no more memory than the largest job without one. */
+guint iv_job_exec_open_max (const ivj_job *spec);
+
+/** Encode the progress of the job as records, of GByteArray: the progress record and, should it not
+ *  hold all failed runs, records of failures that hold them. NULL when that is not possible. Free
+ *  with g_ptr_array_unref(). */
+GPtrArray *iv_job_exec_encode (const struct iv_job_exec *exec);
 
 /** Encode the record of the crashes that tasks of the job are suspected of; NULL when none ever
  * was. Suspects that do not fit wait for others to be cleared: see `crashes_recorded`. Sets
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -10,6 +10,8 @@
 /* A shorter text is not worth another record, which every host reads. */
 #define SPEC_KEPT_BYTES 512
 
+#define FAILURE_RECORDS_MAX 10000 /* bounds what a malformed key allocates */
+
 struct iv_job_table
 {
   GHashTable *jobs; /* from id to struct iv_job_entry */
@@ -17,6 +19,20 @@
   void *context;
 };
 
+static void
+free_progress (gpointer data)
+{
+  if (data)
+    xdr_free ((xdrproc_t)xdr_ivj_progress, data);
+  g_free (data);
+}
+
+static void
+forget_failures (struct iv_job_entry *job)
+{
+  g_clear_pointer (&job->failures, g_ptr_array_unref);
+}
+
 static void
 free_job (gpointer data)
 {
@@ -24,6 +40,7 @@
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job->spec);
   xdr_free ((xdrproc_t)xdr_ivj_progress, (char *)&job->progress);
   xdr_free ((xdrproc_t)xdr_ivj_crashes, (char *)&job->crashes);
+  forget_failures (job);
   if (job->delegations)
     g_array_unref (job->delegations);
   g_free (job);
@@ -142,6 +159,28 @@
     return status;
   xdr_free ((xdrproc_t)xdr_ivj_progress, (char *)&job->progress);
   job->progress = progress;
+  if (iv_job_state_is_final (progress.state))
+    forget_failures (job);
+  return IV_OK;
+}
+
+static enum iv_status
+apply_failures (struct iv_job_entry *job, const char *number, const guint8 *value, gsize len)
+{
+  ivj_progress failures = { 0 };
+  enum iv_status status;
+  guint64 place;
+  if (!g_ascii_string_to_unsigned (number, 10, 1, FAILURE_RECORDS_MAX, &place, NULL))
+    return iv_fail (IV_ERR_INVALID, "malformed key of failures: expected a number");
+  status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_progress, value, len, &failures);
+  if (status != IV_OK)
+    return status;
+  if (job->failures == NULL)
+    job->failures = g_ptr_array_new_with_free_func (free_progress);
+  if (job->failures->len < place)
+    g_ptr_array_set_size (job->failures, (gint)place);
+  free_progress (job->failures->pdata[place - 1]);
+  job->failures->pdata[place - 1] = g_memdup2 (&failures, sizeof failures);
   return IV_OK;
 }
 
@@ -204,6 +243,8 @@
     status = apply_progress (job, value, len);
   else if (strcmp (suffix, IV_KEY_CRASHES) == 0)
     status = apply_crashes (job, value, len);
+  else if (g_str_has_prefix (suffix, IV_KEY_FAILURES))
+    status = apply_failures (job, suffix + strlen (IV_KEY_FAILURES), value, len);
   else if (strcmp (suffix, IV_KEY_CANCEL) == 0)
     job->cancel = TRUE;
   else if (strcmp (suffix, IV_KEY_MOVE) == 0)
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -6,6 +6,8 @@
  * - its id: the specification, written by the host that accepted the job;
  * - its id with IV_KEY_PROGRESS: the progress, written only by the owner of its cell;
  * - its id with IV_KEY_CRASHES: crashes that its tasks are suspected of, written by that owner;
+ * - its id with IV_KEY_FAILURES and a number: failed runs that the progress record has no room for,
+ *   with it when there are any. They may be older than it: a task that has failed stays so;
  * - its id with IV_KEY_CANCEL: written by the host that took the cancellation;
  * - its id with IV_KEY_MOVE: the new cell, written by the owner of the cell that the job leaves;
  * - its id with IV_KEY_DELEGATION and a task: which cell runs that task, written by the owner of
@@ -23,6 +25,7 @@
 
 #define IV_KEY_PROGRESS "+p"
 #define IV_KEY_CRASHES "+c"
+#define IV_KEY_FAILURES "+f" /**< + a number from 1 */
 #define IV_KEY_CANCEL "+x"
 #define IV_KEY_MOVE "+m"            /**< the cell that runs the job from now on */
 #define IV_KEY_LAYOUT "layout"      /**< assignment of racks to cells */
@@ -45,6 +48,7 @@
   ivj_job spec;
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
+  GPtrArray *failures;       /**< of ivj_progress, as recorded with IV_KEY_FAILURES; NULL: none */
   gboolean has_crash_record; /**< the key with IV_KEY_CRASHES exists */
   enum ivj_state live_state; /**< state at the owner; may be newer than the recorded one */
   gint64 live_ended_ms;      /**< wall clock; when `live_state` became final */
--- a/jobs/owner_records.c
+++ b/jobs/owner_records.c
@@ -101,16 +101,20 @@
   return jobs;
 }
 
-static GByteArray *
+static GPtrArray *
 encode_progress (const struct iv_job_entry *job)
 {
   ivj_progress ended = { .state = job->live_state, .ended_ms = job->live_ended_ms };
+  GPtrArray *records;
   if (job->exec)
     {
       iv_job_exec_collected (job->exec);
       return iv_job_exec_encode (job->exec);
     }
-  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES);
+  records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
+  g_ptr_array_add (records,
+                   iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &ended, IV_RECORD_MAX_BYTES));
+  return records;
 }
 
 /* A suspect whose count was not in a record before waits for this collection. */
@@ -125,14 +129,21 @@
 }
 
 static void
-emit_record (const struct iv_job_entry *job, const char *suffix, GByteArray *bytes,
+emit_record (const struct iv_job_entry *job, const char *suffix, const GByteArray *bytes,
              iv_owner_record_fn emit, void *context)
 {
-  char key[IV_JOB_ID_LEN + 8];
+  char *key = g_strconcat (job->id, suffix, NULL);
+  emit (context, key, bytes);
+  g_free (key);
+}
+
+static void
+emit_optional (const struct iv_job_entry *job, const char *suffix, GByteArray *bytes,
+               iv_owner_record_fn emit, void *context)
+{
   if (bytes == NULL)
     return;
-  g_snprintf (key, sizeof key, "%s%s", job->id, suffix);
-  emit (context, key, bytes);
+  emit_record (job, suffix, bytes, emit, context);
   g_byte_array_free (bytes, TRUE);
 }
 
@@ -140,7 +151,7 @@
 iv_owner_encode_records (struct iv_owner *owner, struct iv_job_entry *job, iv_owner_record_fn emit,
                          void *context)
 {
-  GByteArray *progress = encode_progress (job);
+  GPtrArray *progress = encode_progress (job);
   if (progress == NULL)
     {
       iv_event (IV_LEVEL_ERROR, "record.too_large", "job=%s", job->id);
@@ -148,9 +159,16 @@
       return FALSE;
     }
   if (job->exec)
-    emit_record (job, IV_KEY_CRASHES, encode_crashes (owner, job->exec), emit, context);
-  emit_record (job, "", iv_job_encode_ended (job), emit, context);
-  emit_record (job, IV_KEY_PROGRESS, progress, emit, context);
+    emit_optional (job, IV_KEY_CRASHES, encode_crashes (owner, job->exec), emit, context);
+  emit_optional (job, "", iv_job_encode_ended (job), emit, context);
+  for (guint i = 1; i < progress->len; i++)
+    {
+      char suffix[16];
+      g_snprintf (suffix, sizeof suffix, IV_KEY_FAILURES "%u", i);
+      emit_record (job, suffix, g_ptr_array_index (progress, i), emit, context);
+    }
+  emit_record (job, IV_KEY_PROGRESS, g_ptr_array_index (progress, 0), emit, context);
+  g_ptr_array_unref (progress);
   return TRUE;
 }
 
--- a/jobs/tests/records_test.c
+++ b/jobs/tests/records_test.c
@@ -261,33 +261,105 @@
   iv_job_exec_free (exec);
 }
 
-/* Whatever schedule is accepted, its record fits with all that is open. */
+/* Fails tasks of each open occurrence up to @a most times. */
 static void
-test_record_holds_what_is_open (void **state)
+fail_tasks (struct iv_job_exec *exec, GRand *rand, guint most)
+{
+  struct iv_task_name name = { .job = JOB_ID };
+  gint64 run = 1;
+  for (guint i = 0; i < exec->open->len; i++)
+    {
+      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
+      name.occurrence = occurrence->number;
+      for (name.step = 0; name.step < exec->job->spec.steps.steps_len; name.step++)
+        for (name.index = 0; name.index < occurrence->stages[name.step].step->count; name.index++)
+          for (guint failed = (guint)g_rand_int_range (rand, 0, (gint)most + 1); failed > 0;
+               failed--)
+            assert_false (iv_job_exec_task_failed (exec, &name, run++, G_MAXUINT));
+    }
+}
+
+/* Applies the records of @a exec to @a table. */
+static void
+store (const struct iv_job_exec *exec, struct iv_job_table *table)
+{
+  GPtrArray *records = iv_job_exec_encode (exec);
+  assert_non_null (records);
+  for (guint i = 0; i < records->len; i++)
+    {
+      const GByteArray *bytes = g_ptr_array_index (records, i);
+      char key[32];
+      assert_in_range (bytes->len, 1, IV_RECORD_MAX_BYTES);
+      if (i == 0)
+        g_snprintf (key, sizeof key, JOB_ID IV_KEY_PROGRESS);
+      else
+        g_snprintf (key, sizeof key, JOB_ID IV_KEY_FAILURES "%u", i);
+      assert_int_equal (iv_job_table_apply (table, key, bytes->data, bytes->len), IV_OK);
+    }
+  g_ptr_array_unref (records);
+}
+
+static void
+assert_same_failures (const struct iv_job_exec *a, const struct iv_job_exec *b)
+{
+  assert_int_equal (a->open->len, b->open->len);
+  for (guint i = 0; i < a->open->len; i++)
+    for (guint j = 0; j < a->job->spec.steps.steps_len; j++)
+      {
+        const struct iv_stage *x = &((struct iv_occurrence *)a->open->pdata[i])->stages[j];
+        const struct iv_stage *y = &((struct iv_occurrence *)b->open->pdata[i])->stages[j];
+        for (guint k = 0; k < x->step->count; k++)
+          {
+            assert_int_equal (x->tasks[k].failures, y->tasks[k].failures);
+            assert_memory_equal (x->tasks[k].failed_runs, y->tasks[k].failed_runs,
+                                 x->tasks[k].failures * sizeof (gint64));
+          }
+      }
+}
+
+/* Guards against progress that no record holds: whatever job is accepted, and however often its
+   tasks fail, the next owner reads what was open and which runs have failed. */
+static void
+test_records_hold_all_progress (void **state)
 {
   GRand *rand = g_rand_new_with_seed (39);
-  for (guint round = 0; round < 300; round++)
+  for (guint round = 0; round < 200; round++)
     {
+      static const guint failures[] = { 0, 2, 30, 2500 };
       ivj_step steps[IVJ_STEPS_MAX];
-      struct iv_job_entry job = { .spec = { .times = 5000, .steps = { 0, steps } } };
-      guint left = IVJ_TASKS_MAX;
+      ivj_job spec = { .times = 5000, .steps = { 0, steps } };
+      struct iv_job_entry job = { .spec = spec };
+      struct iv_job_table *table = iv_job_table_new ();
+      guint most_failures = failures[round % G_N_ELEMENTS (failures)];
+      guint left = most_failures > 30 ? 20 : IVJ_TASKS_MAX;
+      struct iv_job_entry *read;
       struct iv_job_exec *exec;
-      GByteArray *bytes;
       memset (steps, 0, sizeof steps);
-      job.spec.steps.steps_len
-          = (guint)g_rand_int_range (rand, 1, round % 2 ? 4 : IVJ_STEPS_MAX + 1);
-      for (guint i = 0; i < job.spec.steps.steps_len; i++)
+      spec.steps.steps_len
+          = (guint)g_rand_int_range (rand, 1, most_failures > 30 || round % 3 ? 4 : IVJ_STEPS_MAX);
+      for (guint i = 0; i < spec.steps.steps_len; i++)
         {
-          guint most = MIN (left - (job.spec.steps.steps_len - i - 1), 1u << (round % 15));
+          guint most = MIN (left - (spec.steps.steps_len - i - 1), 1u << (round % 15));
           steps[i].count = (guint)g_rand_int_range (rand, 1, (gint)most + 1);
+          steps[i].label = steps[i].data_rack = steps[i].image = "";
           left -= steps[i].count;
         }
+      spec.host = spec.prefix = spec.spec = "x";
+      if (most_failures > 2)
+        spec.times = 1;
+      job.spec = spec;
       exec = iv_job_exec_new (&job, 0);
       assert_true (iv_job_exec_open_due (exec, 1));
-      bytes = iv_job_exec_encode (exec);
-      assert_non_null (bytes);
-      g_byte_array_free (bytes, TRUE);
+      fail_tasks (exec, rand, most_failures);
+      GByteArray *accepted = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, &spec, IV_RECORD_MAX_BYTES);
+      iv_job_table_apply (table, JOB_ID, accepted->data, accepted->len);
+      g_byte_array_free (accepted, TRUE);
+      store (exec, table);
+      read = iv_job_table_find (table, JOB_ID);
+      assert_same_failures (exec, iv_job_exec_new (read, 0));
+      iv_job_exec_free (read->exec);
       iv_job_exec_free (exec);
+      iv_job_table_free (table);
     }
   g_rand_free (rand);
 }
@@ -302,7 +374,7 @@
     cmocka_unit_test (test_schedule_opens_what_its_record_holds),
     cmocka_unit_test (test_closed_occurrences_count_until_that_is_stored),
     cmocka_unit_test (test_suspects_wait_for_room_in_their_record),
-    cmocka_unit_test (test_record_holds_what_is_open),
+    cmocka_unit_test (test_records_hold_all_progress),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
