Count a run once in tests too: the mutant of double failures is found at the second attempt

The test now allows two attempts: one run counted twice ends the job. It is stricter than before. A record of failures that cannot be encoded makes the encoding fail instead of ending the process.

--- a/jobs/job_exec_records.c
+++ b/jobs/job_exec_records.c
@@ -123,6 +123,7 @@
   GPtrArray *records; /* of GByteArray: those that are full */
   GArray *rows;       /* of struct failure_row: the next record */
   gsize bytes;        /* its encoded size */
+  gboolean failed;    /* one could not be encoded */
 };
 
 static void
@@ -146,8 +147,10 @@
           = (ivj_failure *)(void *)g_array_free (g_steal_pointer (&row->failures), FALSE);
     }
   bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_progress, &packed, IV_RECORD_MAX_BYTES);
-  g_assert (bytes != NULL);
-  g_ptr_array_add (writer->records, bytes);
+  if (bytes)
+    g_ptr_array_add (writer->records, bytes);
+  else
+    writer->failed = TRUE;
   free_packed (&packed);
   g_array_set_size (writer->rows, 0);
   writer->bytes = PROGRESS_BYTES;
@@ -193,11 +196,12 @@
     }
 }
 
-static void
+static gboolean
 encode_all_failures (const struct iv_job_exec *exec, GPtrArray *records)
 {
-  struct failure_writer writer
-      = { records, g_array_new (FALSE, FALSE, sizeof (struct failure_row)), PROGRESS_BYTES };
+  struct failure_writer writer = { .records = records,
+                                   .rows = g_array_new (FALSE, FALSE, sizeof (struct failure_row)),
+                                   .bytes = PROGRESS_BYTES };
   for (guint i = 0; i < exec->open->len; i++)
     {
       const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
@@ -206,6 +210,7 @@
     }
   encode_failures (&writer);
   g_array_free (writer.rows, TRUE);
+  return !writer.failed;
 }
 
 GPtrArray *
@@ -220,9 +225,10 @@
     return NULL;
   records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
   g_ptr_array_add (records, progress);
-  if (!whole)
-    encode_all_failures (exec, records);
-  return records;
+  if (whole || encode_all_failures (exec, records))
+    return records;
+  g_ptr_array_unref (records);
+  return NULL;
 }
 
 static gboolean
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -413,6 +413,7 @@
 test_failures_are_counted_once_across_owners (void **state)
 {
   struct sim *sim = sim_new (4);
+  sim->attempts = 2;
   own_with_one_task (sim);
   sim_advance (sim, 200);
   assert_true (sim_end_run (sim, JOB_ID, 0, 0, IV_END_FAILED));
