Spread records over appends that the store takes

Beyond the limit of the platform it was refused, and sent again with the same records: the cell recorded nothing any more. Eleven records of the largest size that were due at once sufficed.

An append takes up to 1 MiB; the others follow in order. Records report their own outcome, so a job whose record was not stored holds back its ends alone.

test_large_records_take_several_appends failed before: the append was refused.

--- a/daemon/recorder.c
+++ b/daemon/recorder.c
@@ -6,12 +6,13 @@
 #define APPEND_TIMEOUT_MS 1000 /* a slow store responds within a few hundred ms */
 #define RETRY_FIRST_MS 50
 #define RETRY_MAX_MS 500
-#define BODY_BYTES_MAX (1024 * 1024) /* flush early above this; below the platform's limit */
+#define BODY_BYTES_MAX (1024 * 1024) /* of one append; below the platform's limit */
 
 struct entry
 {
   iv_recorder_done_fn done;
   void *context;
+  guint body_end; /* where its record ends in the body */
 };
 
 struct iv_recorder
@@ -142,6 +143,26 @@
     }
 }
 
+/* Takes the queued records that fit into one append, or a larger first one alone. */
+static void
+take_queued (struct iv_recorder *recorder)
+{
+  GArray *queued = recorder->queued_entries;
+  guint count = queued->len;
+  guint bytes;
+  while (count > 1 && g_array_index (queued, struct entry, count - 1).body_end > BODY_BYTES_MAX)
+    count--;
+  bytes = g_array_index (queued, struct entry, count - 1).body_end;
+  recorder->sent_body = g_byte_array_sized_new (bytes);
+  g_byte_array_append (recorder->sent_body, recorder->queued_body->data, bytes);
+  g_byte_array_remove_range (recorder->queued_body, 0, bytes);
+  recorder->sent_entries = g_array_sized_new (FALSE, FALSE, sizeof (struct entry), count);
+  g_array_append_vals (recorder->sent_entries, queued->data, count);
+  g_array_remove_range (queued, 0, count);
+  for (guint i = 0; i < queued->len; i++)
+    g_array_index (queued, struct entry, i).body_end -= bytes;
+}
+
 static void
 on_flush (void *context)
 {
@@ -154,10 +175,7 @@
     {
       if (recorder->queued_entries->len == 0)
         return;
-      recorder->sent_body = recorder->queued_body;
-      recorder->sent_entries = recorder->queued_entries;
-      recorder->queued_body = g_byte_array_new ();
-      recorder->queued_entries = g_array_new (FALSE, FALSE, sizeof (struct entry));
+      take_queued (recorder);
       recorder->first_sent_ms = now;
     }
   recorder->call_pending = TRUE;
@@ -210,9 +228,10 @@
 iv_recorder_add (struct iv_recorder *recorder, const char *key, const void *value, gsize len,
                  iv_recorder_done_fn done, void *context)
 {
-  struct entry entry = { done, context };
+  struct entry entry = { done, context, 0 };
   if (key)
     iv_store_encode_record (recorder->queued_body, key, value, len);
+  entry.body_end = recorder->queued_body->len;
   g_array_append_val (recorder->queued_entries, entry);
   if (recorder->sent_body == NULL && !recorder->flush.set)
     schedule_flush (recorder, recorder->batch_delay_ms);
--- a/daemon/recorder.h
+++ b/daemon/recorder.h
@@ -36,7 +36,9 @@
 void iv_recorder_close (struct iv_recorder *recorder);
 
 /** Queue a record. @a value NULL deletes the key. With @a key NULL nothing is stored, and @a done
- *  is called with the outcome of the records queued before. @a done may be NULL. */
+ *  is called after those of the records queued before, with the outcome of the last of them: what
+ *  is too large for one append is stored in several, each with its own outcome. @a done may be
+ *  NULL. */
 void iv_recorder_add (struct iv_recorder *recorder, const char *key, const void *value, gsize len,
                       iv_recorder_done_fn done, void *context);
 
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -296,6 +296,39 @@
 
 /* The response is lost after the append took effect: the retry stores nothing twice and reports
    success. */
+/* Guards against a cell that records nothing any more: the store refuses an append that is too
+   large as often as it is sent. */
+static void
+test_large_records_take_several_appends (void **state)
+{
+  enum
+  {
+    RECORDS = 12,
+    BYTES = 200000
+  };
+  struct iv_recorder *recorder = iv_recorder_new (loop, deadlines, store, TOPIC, "host-5", 1, 5, 0);
+  struct outcome outcomes[RECORDS] = { { 0 } };
+  struct outcome last = { 0 };
+  char *value = g_strnfill (BYTES, 'x');
+  guint appends = standin->appends;
+  for (guint i = 0; i < RECORDS; i++)
+    {
+      char key[16];
+      g_snprintf (key, sizeof key, "large-%u", i);
+      iv_recorder_add (recorder, key, value, BYTES, on_recorded, &outcomes[i]);
+    }
+  iv_recorder_add (recorder, NULL, NULL, 0, on_recorded, &last);
+  run_until_done (&last);
+  for (guint i = 0; i < RECORDS; i++)
+    assert_true (outcomes[i].done && outcomes[i].status == IV_OK);
+  assert_int_equal (last.status, IV_OK);
+  assert_int_equal (last.end, RECORDS);
+  assert_true (outcomes[0].end < last.end);
+  assert_in_range (standin->appends - appends, 2, RECORDS);
+  iv_recorder_close (recorder);
+  g_free (value);
+}
+
 static void
 test_lost_response_is_resolved (void **state)
 {
@@ -382,6 +415,7 @@
     cmocka_unit_test_setup_teardown (test_unreadable_records, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_odd_numbers_of_the_store, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_records_share_an_append, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_large_records_take_several_appends, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lost_response_is_resolved, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_append_is_unavailable, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_older_epoch_is_fenced, set_up, tear_down),
