Suspect, try and clear a gang as a whole

With more suspected members than workers the gang could not be placed, and only a run clears a suspicion.

Members of a gang start and end together, so nothing is learnt about one without the others. The gang has one count, kept at its first member; its runs do not count against each other, neither for admission nor for being alone; a run is counted once, on however many workers; it is cleared when all of its members have proven harmless. On a busy fleet the workers that would do without their newest runs are reserved for the whole gang, or none is. Records of earlier releases, with a count for each member, are read as one.

The simulated cell ends gangs as the platform does.

--- a/jobs/crash.c
+++ b/jobs/crash.c
@@ -4,6 +4,8 @@
 #include "owner_private.h"
 #include "reserve.h"
 
+#include <string.h>
+
 /* A worker that is alive this long after the start of a run has survived it. One interval between
    lists, so that a proof takes two lists at most. */
 #define PROBATION_MS 500
@@ -26,20 +28,59 @@
 
 static const char *const phase_names[] = { "starting", "unsure", "running", "stopping" };
 
+static gboolean
+is_unproven (gconstpointer run)
+{
+  return !((const struct iv_run *)run)->proven;
+}
+
+/* Whether the counts of @a run are those of the task @a name: runs of one task, or of one gang,
+   whose members tell nothing about each other. */
+static gboolean
+is_of_suspect (const struct iv_run *run, const struct iv_task_name *name)
+{
+  if (run->name.step != name->step || run->name.occurrence != name->occurrence
+      || strcmp (run->name.job, name->job) != 0)
+    return FALSE;
+  return run->name.index == name->index || (run->step && run->step->flags & IVJ_GANG);
+}
+
 static guint
 count_unproven (const struct iv_fleet_worker *worker)
 {
   guint count = 0;
   for (guint i = 0; i < worker->runs->len; i++)
-    count += !((const struct iv_run *)g_ptr_array_index (worker->runs, i))->proven;
+    count += is_unproven (g_ptr_array_index (worker->runs, i));
+  return count;
+}
+
+/* The same without runs of the suspect @a name. */
+static guint
+count_other_unproven (const struct iv_fleet_worker *worker, const struct iv_task_name *name)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      count += is_unproven (run) && !is_of_suspect (run, name);
+    }
   return count;
 }
 
+/* The task that carries the counts for the run or task @a name; NULL when it is not known. */
+static struct iv_job_task *
+find_suspect (const struct iv_job_exec *exec, const struct iv_task_name *name)
+{
+  struct iv_stage *stage;
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, &stage) : NULL;
+  return task ? iv_stage_suspect (stage, task) : NULL;
+}
+
 void
-iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
-                const struct iv_task_name *name)
+iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_task_name *name)
 {
-  if (task->crashes == 0)
+  struct iv_job_task *task = find_suspect (exec, name);
+  if (task == NULL || task->crashes == 0)
     return;
   iv_event (IV_LEVEL_INFO, "task.cleared", "task=%s.%u.%u.%u crashes=%u seen=%u alone=%u",
             name->job, name->occurrence, name->step, name->index, task->crashes, task->crashes_seen,
@@ -53,16 +94,42 @@
   iv_owner_queue_record (owner, exec);
 }
 
+static guint
+count_proven (const struct iv_fleet_worker *worker, const struct iv_run *member)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      count += run->proven && run->number == member->number && is_of_suspect (run, &member->name);
+    }
+  return count;
+}
+
+/* Whether all runs that started with @a run have proven harmless: the worker of another member of a
+   gang may have ended without a sign yet. */
+static gboolean
+have_all_proven (const struct iv_owner *owner, const struct iv_run *run)
+{
+  guint proven = 0;
+  GHashTableIter iter;
+  gpointer worker;
+  if (run->step == NULL || !(run->step->flags & IVJ_GANG))
+    return run->proven;
+  g_hash_table_iter_init (&iter, owner->fleet->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &worker))
+    proven += count_proven (worker, run);
+  return proven == run->step->count;
+}
+
 static void
 clear_suspect (struct iv_owner *owner, struct iv_run *run)
 {
-  struct iv_job_exec *exec = iv_owner_find_exec (owner, &run->name);
-  struct iv_job_task *task = exec ? iv_job_exec_task (exec, &run->name, NULL) : NULL;
   run->suspect = FALSE;
   run->worker->suspects--;
   owner->needs_dispatch = TRUE;
-  if (task)
-    iv_crash_clear (owner, exec, task, &run->name);
+  if (have_all_proven (owner, run))
+    iv_crash_clear (owner, iv_owner_find_exec (owner, &run->name), &run->name);
 }
 
 static void
@@ -261,10 +328,11 @@
 {
   const struct iv_task_name *name = &run->name;
   struct iv_job_exec *exec = iv_owner_find_exec (owner, name);
-  struct iv_job_task *task = exec ? iv_job_exec_task (exec, name, NULL) : NULL;
+  struct iv_job_task *task = find_suspect (exec, name);
   run->accused = TRUE;
-  if (task == NULL || task->state == IV_JOB_TASK_DONE)
+  if (task == NULL || task->state == IV_JOB_TASK_DONE || task->crash_run == run->number)
     return;
+  task->crash_run = run->number;
   task->start_announced = FALSE;
   task->crashes++;
   task->crashes_seen += seen ? 1 : 0;
@@ -285,24 +353,52 @@
   return run->phase == IV_RUN_PHASE_RUNNING || run->first_clock_ms > 0;
 }
 
+/* Whether a run on @a worker that has started is unproven, and of the suspect @a name. */
+static gboolean
+has_started_unproven (const struct iv_fleet_worker *worker, const struct iv_task_name *name)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (is_unproven (run) && has_started (run) && is_of_suspect (run, name))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 accuse_unproven (struct iv_owner *owner, struct iv_fleet_worker *worker, const char *evidence)
 {
-  gboolean alone = count_unproven (worker) == 1;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       struct iv_run *run = g_ptr_array_index (worker->runs, i);
-      gboolean seen = has_started (run);
-      if (!run->proven && !run->accused)
+      gboolean seen = has_started_unproven (worker, &run->name);
+      gboolean alone = count_other_unproven (worker, &run->name) == 0;
+      if (is_unproven (run) && !run->accused)
         accuse (owner, run, seen, alone && seen, evidence);
     }
 }
 
+/* Whether a run of a task that @a task carries the counts for is known to this owner. */
+static gboolean
+is_run_known (const struct iv_stage *stage, const struct iv_job_task *task)
+{
+  guint members = stage->step->flags & IVJ_GANG ? stage->step->count : 1;
+  for (guint i = 0; i < members; i++)
+    if (task[i].state != IV_JOB_TASK_WAITING || task[i].run > 0)
+      return TRUE;
+  return FALSE;
+}
+
 static void
-count_unseen (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
-              const struct iv_task_name *name)
+count_unseen (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_task_name *name)
 {
-  if (!task->start_announced || task->state != IV_JOB_TASK_WAITING || task->run > 0)
+  struct iv_stage *stage;
+  struct iv_job_task *task = iv_job_exec_task (exec, name, &stage);
+  if (task == NULL)
+    return;
+  task = iv_stage_suspect (stage, task);
+  if (!task->start_announced || is_run_known (stage, task))
     return;
   task->start_announced = FALSE;
   task->crashes++;
@@ -322,13 +418,10 @@
   for (guint i = 0; i < exec->job->crashes.tasks.tasks_len; i++)
     {
       const ivj_crash *crash = &exec->job->crashes.tasks.tasks_val[i];
-      struct iv_job_task *task;
       name.occurrence = crash->occurrence;
       name.step = crash->step;
       name.index = crash->index;
-      task = iv_job_exec_task (exec, &name, NULL);
-      if (task)
-        count_unseen (owner, exec, task, &name);
+      count_unseen (owner, exec, &name);
     }
 }
 
@@ -392,12 +485,32 @@
   run->worker->suspects += run->suspect ? 1 : 0;
 }
 
+static gboolean
+has_other_suspect (const struct iv_fleet_worker *worker, const struct iv_task_name *name)
+{
+  for (guint i = 0; worker->suspects > 0 && i < worker->runs->len; i++)
+    {
+      const struct iv_run *run = g_ptr_array_index (worker->runs, i);
+      if (run->suspect && !is_of_suspect (run, name))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
-iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task)
+iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_placement_query *query,
+                 const struct iv_job_task *task)
 {
-  if (worker->suspects > 0)
+  struct iv_task_name name = { .occurrence = query->occurrence,
+                               .step = query->stage->number,
+                               .index = (guint)(task - query->stage->tasks) };
+  if (worker->suspects == 0 && iv_stage_suspect (query->stage, task)->crashes == 0)
+    return TRUE;
+  g_strlcpy (name.job, query->job->id, sizeof name.job);
+  if (has_other_suspect (worker, &name))
     return FALSE;
-  return task->crashes == 0 || count_unproven (worker) == 0;
+  return iv_stage_suspect (query->stage, task)->crashes == 0 || query->accepts_unproven
+         || count_other_unproven (worker, &name) == 0;
 }
 
 gint64
--- a/jobs/crash.h
+++ b/jobs/crash.h
@@ -1,6 +1,7 @@
 /**
  * @file crash.h
- * Crashed workers: which runs may be to blame, and what is done about their tasks.
+ * Crashed workers: which runs may be to blame, and what is done about their tasks. A gang is under
+ * suspicion as a whole: functions that take a task take the one of iv_stage_suspect().
  */
 #ifndef IV_CRASH_H
 #define IV_CRASH_H
@@ -29,9 +30,13 @@
 /** @a run of @a task was added to its worker: under suspicion, it is kept apart. */
 void iv_crash_run_started (struct iv_run *run, const struct iv_job_task *task);
 
-/** Whether @a worker takes @a task: nothing starts beside a task under suspicion, and such a task
- *  only where nothing else has just started. */
-gboolean iv_crash_admits (const struct iv_fleet_worker *worker, const struct iv_job_task *task);
+struct iv_placement_query;
+
+/** Whether @a worker takes @a task of the stage of @a query: nothing starts beside a task under
+ *  suspicion, and such a task only where nothing else has just started. Members of a gang do not
+ *  count against each other. */
+gboolean iv_crash_admits (const struct iv_fleet_worker *worker,
+                          const struct iv_placement_query *query, const struct iv_job_task *task);
 
 /** Score of @a worker for a task under suspicion: lower the more its crash would cost. */
 gint64 iv_crash_score (const struct iv_fleet_worker *worker);
@@ -46,8 +51,8 @@
 void iv_crash_reserve (struct iv_fleet *fleet, struct iv_fleet_worker *worker,
                        const struct iv_job_task *task, gint64 now_ms);
 
-/** @a task has survived a start: it is under suspicion no more. */
-void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec, struct iv_job_task *task,
+/** The task @a name of @a exec has survived a start: it is under suspicion no more. */
+void iv_crash_clear (struct iv_owner *owner, struct iv_job_exec *exec,
                      const struct iv_task_name *name);
 
 /** The runs of previous owners are known. A task under suspicion whose start was announced, and
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -16,6 +16,7 @@
 #define STARVED_AFTER_MS 500
 /* Share of the workers that may be kept from batch tasks for tasks that are down. */
 #define DOWN_RESERVED_MAX_PERCENT 25
+#define TRIAL_RUN (-1) /* number of a run that is never started */
 /* Long-running tasks that wait are logged after this long, and then at this interval. */
 #define WAIT_LOG_INTERVAL_MS 1000
 
@@ -67,7 +68,7 @@
            const struct iv_stage *stage, const struct iv_job_task *task, gint64 now_ms)
 {
   return iv_dispatch_is_free (owner, exec, stage, task, now_ms)
-         && iv_crash_may_start (owner, exec, task);
+         && iv_crash_may_start (owner, exec, iv_stage_suspect (stage, task));
 }
 
 static void
@@ -83,7 +84,7 @@
   command.ticket = iv_advice_ticket (stage->advice, worker, now_ms);
   command.deadline_clock_ms = iv_place_start_deadline (worker, query);
   run->phase = IV_RUN_PHASE_STARTING;
-  iv_crash_run_started (run, task);
+  iv_crash_run_started (run, iv_stage_suspect (stage, task));
   run->workload = iv_sharing_workload (owner, stage->step);
   iv_sharing_add_run (owner, run, now_ms);
   run->start_deadline_clock_ms = command.deadline_clock_ms;
@@ -179,47 +180,61 @@
     exec->unholdable_ms = now_ms;
 }
 
-/* Places all members or none, whatever credit is left, as they start together: trial runs reserve
-   the workers until every member has one, and are removed before a start is sent. */
-static void
-dispatch_gang (struct iv_owner *owner, const struct iv_placement_query *query,
-               struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
-               gint64 now_ms)
+/* Finds a worker for each member. Trial runs take up the workers until every member has one, and
+   are removed before a start is sent. */
+static gboolean
+place_gang (const struct iv_placement_query *query, const struct iv_stage *stage,
+            struct iv_task_name *name, struct iv_fleet_worker **chosen)
 {
-  guint count = stage->step->count;
-  struct iv_fleet_worker **chosen;
-  const char *checkpoint = NULL;
-  gint64 highest = 0;
   guint found;
-  gboolean announced = TRUE;
-  if (owner->start_credit == 0)
-    return;
-  for (guint i = 0; i < count; i++)
+  for (found = 0; found < stage->step->count; found++)
     {
-      if (!may_start (owner, exec, stage, &stage->tasks[i], now_ms))
-        return;
-      highest = MAX (highest, stage->tasks[i].run);
-      if (stage->tasks[i].checkpoint)
-        checkpoint = stage->tasks[i].checkpoint;
-    }
-  chosen = g_new0 (struct iv_fleet_worker *, count);
-  for (found = 0; found < count; found++)
-    {
-      chosen[found] = iv_place_task (query, &stage->tasks[found]);
+      struct iv_job_task *member = &stage->tasks[found];
+      chosen[found] = iv_place_task (query, member);
       if (chosen[found] == NULL)
         break;
       name->index = found;
-      iv_crash_run_started (iv_run_add (chosen[found], name, stage->step, -1, now_ms),
-                            &stage->tasks[found]);
+      iv_crash_run_started (iv_run_add (chosen[found], name, stage->step, TRIAL_RUN, query->now_ms),
+                            iv_stage_suspect (stage, member));
     }
   for (guint i = 0; i < found; i++)
     {
       name->index = i;
-      iv_run_remove (iv_run_find (chosen[i], name, -1));
+      iv_run_remove (iv_run_find (chosen[i], name, TRIAL_RUN));
     }
-  for (guint i = 0; found == count && i < count; i++)
-    announced &= iv_crash_announce_start (owner, exec, &stage->tasks[i]);
-  for (guint i = 0; found == count && announced && i < count; i++)
+  return found == stage->step->count;
+}
+
+/* Finds workers for a gang under suspicion once their newest runs have proven harmless, and
+   reserves all of them until then, or none: two gangs that held a part each would wait for each
+   other. */
+static void
+reserve_for_gang (struct iv_owner *owner, const struct iv_placement_query *query,
+                  const struct iv_stage *stage, struct iv_task_name *name,
+                  struct iv_fleet_worker **chosen)
+{
+  struct iv_placement_query later = *query;
+  later.accepts_unproven = TRUE;
+  if (!place_gang (&later, stage, name, chosen))
+    return;
+  for (guint i = 0; i < stage->step->count; i++)
+    iv_crash_reserve (owner->fleet, chosen[i], &stage->tasks[i], query->now_ms);
+}
+
+static void
+start_gang (struct iv_owner *owner, const struct iv_placement_query *query,
+            struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
+            struct iv_fleet_worker *const *chosen)
+{
+  const char *checkpoint = NULL;
+  gint64 highest = 0;
+  for (guint i = 0; i < stage->step->count; i++)
+    {
+      highest = MAX (highest, stage->tasks[i].run);
+      if (stage->tasks[i].checkpoint)
+        checkpoint = stage->tasks[i].checkpoint;
+    }
+  for (guint i = 0; i < stage->step->count; i++)
     {
       struct iv_job_task *task = &stage->tasks[i];
       name->index = i;
@@ -233,6 +248,28 @@
       start_task (owner, query, exec, stage, task, name, chosen[i],
                   next_run_number (owner, exec, highest));
     }
+}
+
+/* Starts all members or none, whatever credit is left, as they start together. */
+static void
+dispatch_gang (struct iv_owner *owner, const struct iv_placement_query *query,
+               struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name)
+{
+  struct iv_job_task *suspect = iv_stage_suspect (stage, stage->tasks);
+  struct iv_fleet_worker **chosen;
+  if (owner->start_credit == 0)
+    return;
+  for (guint i = 0; i < stage->step->count; i++)
+    if (!may_start (owner, exec, stage, &stage->tasks[i], query->now_ms))
+      return;
+  chosen = g_new0 (struct iv_fleet_worker *, stage->step->count);
+  if (!place_gang (query, stage, name, chosen))
+    {
+      if (suspect->crashes > 0)
+        reserve_for_gang (owner, query, stage, name, chosen);
+    }
+  else if (iv_crash_announce_start (owner, exec, suspect))
+    start_gang (owner, query, exec, stage, name, chosen);
   g_free (chosen);
 }
 
@@ -371,7 +408,7 @@
       = make_query (owner, exec, &candidate->policy, stage, occurrence->number, now_ms);
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
   if (stage->step->flags & IVJ_GANG)
-    dispatch_gang (owner, &query, exec, stage, &name, now_ms);
+    dispatch_gang (owner, &query, exec, stage, &name);
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
   note_waiting (stage, &query);
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -207,13 +207,16 @@
       const ivj_crash *crash = &crashes->tasks.tasks_val[i];
       struct iv_task_name name
           = { .occurrence = crash->occurrence, .step = crash->step, .index = crash->index };
-      struct iv_job_task *task = iv_job_exec_task (exec, &name, NULL);
+      struct iv_stage *stage;
+      struct iv_job_task *task = iv_job_exec_task (exec, &name, &stage);
       if (task == NULL || task->state == IV_JOB_TASK_DONE)
         continue;
-      task->crashes = crash->crashes;
-      task->crashes_seen = crash->seen;
-      task->crashes_alone = crash->alone;
-      task->start_announced = crash->announced;
+      /* Earlier releases counted for each member of a gang. */
+      task = iv_stage_suspect (stage, task);
+      task->crashes = MAX (task->crashes, crash->crashes);
+      task->crashes_seen = MAX (task->crashes_seen, crash->seen);
+      task->crashes_alone = MAX (task->crashes_alone, crash->alone);
+      task->start_announced |= crash->announced;
       task->crashes_recorded = TRUE;
       exec->has_crashes = TRUE;
     }
@@ -379,6 +382,13 @@
   return &occurrence->stages[name->step].tasks[name->index];
 }
 
+struct iv_job_task *
+iv_stage_suspect (const struct iv_stage *stage, const struct iv_job_task *task)
+{
+  guint index = stage->step->flags & IVJ_GANG ? 0 : (guint)(task - stage->tasks);
+  return &stage->tasks[index];
+}
+
 guint
 iv_stage_waiting (const struct iv_stage *stage)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -25,12 +25,15 @@
 struct iv_job_task
 {
   enum iv_job_task_state state;
-  gint64 run;                /**< highest run number that a start of this task has used */
-  gint64 placed_run;         /**< number of the run that it is placed as; 0: it is not placed */
-  gint64 not_before_ms;      /**< monotonic clock; earliest next start after a failure */
-  guint failures;            /**< failed runs, each counted once */
-  gint64 *failed_runs;       /**< numbers of these runs: workers report ends in any order */
-  guint crashes;             /**< crashes that it is suspected of since it last survived a start */
+  gint64 run;           /**< highest run number that a start of this task has used */
+  gint64 placed_run;    /**< number of the run that it is placed as; 0: it is not placed */
+  gint64 not_before_ms; /**< monotonic clock; earliest next start after a failure */
+  guint failures;       /**< failed runs, each counted once */
+  gint64 *failed_runs;  /**< numbers of these runs: workers report ends in any order */
+  /** Crashes that it is suspected of since it last survived a start. The members of a gang start
+   * and end together, and have one count: see iv_stage_suspect(). */
+  guint crashes;
+  gint64 crash_run; /**< run that was counted last: once, however many of its workers crashed */
   gboolean start_announced;  /**< the stored count says that it may have been started since */
   gboolean crashes_recorded; /**< its counts are in the newest record; it waits until they are */
   guint crashes_seen;        /**< those of them that it was seen to have started before */
@@ -146,6 +149,9 @@
 struct iv_job_task *iv_job_exec_task (const struct iv_job_exec *exec,
                                       const struct iv_task_name *name, struct iv_stage **stage);
 
+/** The task whose counts of crashes hold for @a task of @a stage: of a gang, the first member. */
+struct iv_job_task *iv_stage_suspect (const struct iv_stage *stage, const struct iv_job_task *task);
+
 /** Number of tasks of @a stage that wait for its step to become ready, or for a worker. */
 guint iv_stage_waiting (const struct iv_stage *stage);
 
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -237,11 +237,13 @@
   const struct iv_stage *stage;
   guint occurrence;
   const char *service;
-  const char *rack;         /**< the only rack allowed; NULL: any */
-  guint32 workload;         /**< image of the stage in the interference model */
-  gboolean advised;         /**< only workers with a ticket */
-  gboolean checks_capacity; /**< see struct iv_queue_policy */
-  gboolean reserves;        /**< a worker is reserved when none has capacity: see reserve.h */
+  const char *rack;          /**< the only rack allowed; NULL: any */
+  guint32 workload;          /**< image of the stage in the interference model */
+  gboolean advised;          /**< only workers with a ticket */
+  gboolean checks_capacity;  /**< see struct iv_queue_policy */
+  gboolean reserves;         /**< a worker is reserved when none has capacity: see reserve.h */
+  gboolean accepts_unproven; /**< a suspect also where runs may still prove to be to blame: see
+                                iv_crash_admits() */
   gboolean starved; /**< the job has had no run for a while: accept the least interference */
   gint64 now_ms;
 };
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -293,7 +293,7 @@
     }
   task->run = MAX (task->run, end->number);
   if (end->reason == IV_END_FAILED)
-    iv_crash_clear (owner, exec, task, &end->name);
+    iv_crash_clear (owner, exec, &end->name);
   if (was_known)
     iv_owner_requeue_task (owner, &end->name, end->number, end->checkpoint);
   if (end->reason == IV_END_FAILED)
@@ -311,6 +311,7 @@
   struct iv_job_task *task = exec ? iv_job_exec_task (exec, &listed->name, &stage) : NULL;
   struct iv_run *run
       = iv_run_add (worker, &listed->name, stage ? stage->step : NULL, listed->number, now_ms);
+  const struct iv_job_task *suspect;
   run->phase = IV_RUN_PHASE_RUNNING;
   run->workload = iv_sharing_workload (owner, run->step);
   if (task && stage && task->state == IV_JOB_TASK_WAITING)
@@ -325,9 +326,10 @@
       return;
     }
   task->run = listed->number;
-  iv_crash_run_started (run, task);
+  suspect = iv_stage_suspect (stage, task);
+  iv_crash_run_started (run, suspect);
   /* When a previous owner started it is not known, only that the worker has survived it so far. */
-  run->proven = task->crashes == 0 && listed->number <= owner->run_base;
+  run->proven = suspect->crashes == 0 && listed->number <= owner->run_base;
 }
 
 /* Whether polls that @a worker held when it first replied to this owner have been answered by the
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -287,7 +287,7 @@
     value += SCORE_DATA_LOCAL;
   if (task->avoid_worker == worker->handle)
     value += SCORE_AVOID;
-  if (task->crashes > 0)
+  if (iv_stage_suspect (query->stage, task)->crashes > 0)
     value += iv_crash_score (worker);
   if (step->target_ms > 0)
     value += image_affinity (worker, query->workload);
@@ -311,6 +311,18 @@
   return TRUE;
 }
 
+/* Whether no other task has reserved @a worker; members of a gang reserve for each other. */
+static gboolean
+is_unreserved (const struct iv_fleet_worker *worker, const struct iv_placement_query *query,
+               const struct iv_job_task *task)
+{
+  const struct iv_stage *stage = query->stage;
+  const struct iv_job_task *holder = worker->reserved_for;
+  return iv_reserve_admits (worker, task, query->now_ms)
+         || (stage->step->flags & IVJ_GANG && holder >= stage->tasks
+             && holder < stage->tasks + stage->step->count);
+}
+
 struct iv_fleet_worker *
 iv_place_task (const struct iv_placement_query *query, const struct iv_job_task *task)
 {
@@ -318,6 +330,7 @@
   struct iv_fleet_worker *busy = NULL; /* the best that would do without its newest runs */
   gint64 best_score = 0;
   gboolean best_effort = (query->stage->step->flags & IVJ_BEST_EFFORT) != 0;
+  gboolean gang = (query->stage->step->flags & IVJ_GANG) != 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, query->owner->fleet->by_id);
@@ -326,9 +339,9 @@
       gint64 points;
       if (!is_usable (value, query))
         continue;
-      if (!iv_reserve_admits (value, task, query->now_ms) || !iv_crash_admits (value, task))
+      if (!is_unreserved (value, query, task) || !iv_crash_admits (value, query, task))
         {
-          busy = iv_crash_better_busy (busy, value, task, query->now_ms);
+          busy = gang ? NULL : iv_crash_better_busy (busy, value, task, query->now_ms);
           continue;
         }
       points = score (value, query, task);
@@ -379,7 +392,8 @@
 iv_place_reserved (const struct iv_placement_query *query, const struct iv_job_task *task)
 {
   struct iv_fleet_worker *worker = iv_reserve_find (query->owner->fleet, task, query->now_ms);
-  return worker && is_usable (worker, query) && iv_crash_admits (worker, task) ? worker : NULL;
+  return worker && is_usable (worker, query) && iv_crash_admits (worker, query, task) ? worker
+                                                                                      : NULL;
 }
 
 static void
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -27,6 +27,7 @@
   gint64 percent;                /**< progress */
   gint64 tail_ms;                /**< tail latency that the worker reports for it */
   guint cpu_limit_percent;       /**< CPU limit, percent of full speed */
+  gboolean whole;                /**< all members of its gang have been there at one time */
   gint64 stop_clock_ms; /**< being stopped: ends then, on the worker's clock; 0: it is not */
 };
 
@@ -126,6 +127,7 @@
   guint deadly_starts[SIM_DEADLY_MAX];               /**< by index of the deadly task */
   guint beside_suspect;  /**< starts on a worker that holds such a task */
   gint64 crash_after_ms; /**< from the start of a deadly task to the crash */
+  gboolean gangs_break;  /**< a gang without a member ends, as on the platform */
   gint64 run_ms;         /**< tasks that are not deadly end as done after this; 0: never */
   guint no_ticket;       /**< starts that were refused for lack of a ticket */
   guint attempts;        /**< failed runs of a task that end its job */
--- a/jobs/tests/bench_worker.c
+++ b/jobs/tests/bench_worker.c
@@ -4,6 +4,7 @@
 
 #define CALL_LATENCY_MS 4 /* from a call to its reply */
 #define CALL_TIMEOUT_MS 800
+#define GANG_WAIT_MS 3000 /* a member of a gang waits this long for the others */
 #define HEARTBEAT_MS 1000 /* from the start of an instance to the reading of its entry */
 
 guint
@@ -377,6 +378,35 @@
     sim_list_worker (sim, i);
 }
 
+static guint
+count_members (const struct sim *sim, const struct sim_run *member)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->count; i++)
+    for (guint j = 0; j < sim->workers[i].runs->len; j++)
+      {
+        const struct sim_run *run = &g_array_index (sim->workers[i].runs, struct sim_run, j);
+        count += run->number == member->number && run->name.step == member->name.step
+                 && run->name.occurrence == member->name.occurrence
+                 && strcmp (run->name.job, member->name.job) == 0;
+      }
+  return count;
+}
+
+static const ivj_step *
+find_step (const struct sim *sim, const struct sim_run *run)
+{
+  const struct iv_job_entry *job = iv_job_table_find (sim->job_table, run->name.job);
+  return &job->spec.steps.steps_val[run->name.step];
+}
+
+/* Whether the gang of @a run waits for members: it does no work before. */
+static gboolean
+is_gathering (const struct sim *sim, const struct sim_run *run)
+{
+  return sim->gangs_break && find_step (sim, run)->flags & IVJ_GANG && !run->whole;
+}
+
 /* Ends the runs on @a worker that are done. */
 static void
 end_done_runs (const struct sim *sim, struct sim_worker *worker)
@@ -384,15 +414,44 @@
   for (guint i = worker->runs->len; sim->run_ms > 0 && i-- > 0;)
     {
       const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
-      if (sim->now_ms >= run->started_ms + sim->run_ms
+      if (sim->now_ms >= run->started_ms + sim->run_ms && !is_gathering (sim, run)
           && (sim->is_deadly == NULL || !sim->is_deadly (&run->name)))
         sim_worker_end_run (worker, i, IV_END_DONE);
     }
 }
 
+static void
+note_whole_gangs (const struct sim *sim)
+{
+  for (guint i = 0; sim->gangs_break && i < sim->count; i++)
+    for (guint j = 0; j < sim->workers[i].runs->len; j++)
+      {
+        struct sim_run *run = &g_array_index (sim->workers[i].runs, struct sim_run, j);
+        run->whole |= count_members (sim, run) == find_step (sim, run)->count;
+      }
+}
+
+/* Ends members of gangs that have lost another one, or have waited too long for it. */
+static void
+end_broken_gangs (const struct sim *sim, struct sim_worker *worker)
+{
+  for (guint i = worker->runs->len; sim->gangs_break && i-- > 0;)
+    {
+      const struct sim_run *run = &g_array_index (worker->runs, struct sim_run, i);
+      const ivj_step *step = find_step (sim, run);
+      if (!(step->flags & IVJ_GANG) || count_members (sim, run) == step->count)
+        continue;
+      if (run->whole)
+        sim_worker_end_run (worker, i, IV_END_GANG_BROKEN);
+      else if (sim->now_ms > run->started_ms + GANG_WAIT_MS)
+        sim_worker_end_run (worker, i, IV_END_GANG_TIMEOUT);
+    }
+}
+
 void
 sim_advance_workers (struct sim *sim)
 {
+  note_whole_gangs (sim);
   for (guint i = 0; i < sim->count; i++)
     {
       struct sim_worker *worker = &sim->workers[i];
@@ -405,6 +464,7 @@
       while (worker->runs->len > 0 && worker->clock > worker->lease_end_clock_ms)
         sim_worker_end_run (worker, 0, IV_END_LEASE_EXPIRED);
       end_done_runs (sim, worker);
+      end_broken_gangs (sim, worker);
       advance_crash (sim, i);
     }
 }
