Give each instance of a worker under the same id a higher fence

Cause: an owner called a worker that had restarted under its id with the fence of before, so that the worker could not tell a poll that was meant for its earlier instance, carried out seconds late, from a new one. Such a poll names times on the earlier clock, which gave the longest lease, and ends of the earlier count, which the new instance then forgot before any reply had listed them.

An owner has the fences from its term to the next, as terms are multiples of 1024, and takes a higher one whenever it learns of another instance. The reply that tells of it was to a call with the fence of before: the instance counts as fenced, and its first lease begins, with the first reply to a higher one. Fences of workers that were removed and come back do not fall, as the next one is counted for all workers. Replies to calls for an earlier instance find no worker, so that being fenced there deposes nobody. A host of an earlier release claims a term between two multiples, and its fence may be refused by restarted workers until it has claimed again.

The other tests of restarts keep late calls that come before the first call with the higher fence. Tests that name terms or fences name multiples now.

--- a/daemon/cell_claim.c
+++ b/daemon/cell_claim.c
@@ -44,6 +44,13 @@
   iv_stream_barrier (task->deps.jobs, on_caught_up, task);
 }
 
+/* The first term from @a term on; hosts of earlier releases claim those between. */
+static gint64
+next_term (gint64 term)
+{
+  return (term + IV_FENCES_PER_TERM - 1) / IV_FENCES_PER_TERM * IV_FENCES_PER_TERM;
+}
+
 /* The claim announces the owner to all hosts. Its higher epoch also fences the previous owner: the
    store rejects progress records that it appends later. The sequence starts at a random number, so
    that of two claims with the same term one fails. */
@@ -62,8 +69,8 @@
       return;
     }
   task->replaced_claim_ms = task->claim_applied_ms;
-  task->claim_term = MAX (iv_membership_generation (task->deps.membership),
-                          MAX (task->lost_term, task->current_term) + 1);
+  task->claim_term = next_term (MAX (iv_membership_generation (task->deps.membership),
+                                     MAX (task->lost_term, task->current_term) + 1));
   task->replaced_term = task->current_term;
   task->claim_sequence = g_random_int_range (1, G_MAXINT32 / 2);
   writer.epoch = task->claim_term;
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -614,7 +614,7 @@
                          iv_cell_task_now_ms (task));
   task->next_model_ms = iv_cell_task_now_ms (task) + MODEL_INTERVAL_MS;
   task->calls = iv_worker_calls_new (task->deps.workers, task->deps.loop, task->deps.worker_limits,
-                                     task->term, &callbacks);
+                                     &callbacks);
   task->recorder
       = iv_recorder_new (task->deps.loop, task->deps.deadlines, task->deps.store, IV_TOPIC_JOBS,
                          task->writer, task->term, RECORD_BATCH_DELAY_MS, 0);
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -3,6 +3,7 @@
 #include "fleet_app.h"
 #include "http_client.h"
 #include "job_table.h"
+#include "fleet.h"
 #include "loopback_port.h"
 #include "store.h"
 #include "store_standin.h"
@@ -251,7 +252,7 @@
     { "keyed.jobs", "owner/0", "99999999999999999999 other" },
     { "keyed.jobs", "owner/0", "-1 other" },
     { "keyed.jobs", "owner/0", "" },
-    { "keyed.jobs", "owner/0", "50 other" },
+    { "keyed.jobs", "owner/0", "51200 other" },
     { "keyed.jobs", "owner/18446744073709551616", "9 other" },
     { "keyed.jobs", "load/0", "9223372036854775807 -9223372036854775808 x" },
     { "keyed.jobs", "handover/0", "-9223372036854775808 i-1 - -9223372036854775808" },
@@ -260,7 +261,7 @@
     { "keyed.jobs", "00000000000000dd+m", "99999999999999999999" },
     { "keyed.jobs", "00000000000000dd", "\xff\xff\xff\xff" },
     { "keyed.jobs", "00000000000000dd+p", "\xff\xff\xff\xff" },
-    { "keyed.jobs", "owner/0", "90 other" }, /* the next owner reads these records */
+    { "keyed.jobs", "owner/0", "92160 other" }, /* the next owner reads these records */
   };
   char *nested = g_malloc0 (200001);
   memset (nested, '[', 200000);
@@ -328,10 +329,11 @@
 {
   gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
   gboolean old = FALSE;
-  for (guint term = 120; !old && (gint64)uv_now (loop) < end; term += 10)
+  for (gint64 term = 120 * IV_FENCES_PER_TERM; !old && (gint64)uv_now (loop) < end;
+       term += IV_FENCES_PER_TERM)
     {
       char claim[32];
-      g_snprintf (claim, sizeof claim, "%u other", term);
+      g_snprintf (claim, sizeof claim, "%" G_GINT64_FORMAT " other", term);
       store_standin_put (store, "keyed.jobs", "owner/0", claim);
       poll_until (metrics_address, "/metrics", "ibisvane_cells_owned 0\n", 200);
       old = wait_for_old_state ();
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -48,9 +48,11 @@
 }
 
 struct iv_fleet *
-iv_fleet_new (void)
+iv_fleet_new (gint64 term)
 {
   struct iv_fleet *fleet = g_new0 (struct iv_fleet, 1);
+  fleet->fence = term;
+  fleet->fence_max = (term / IV_FENCES_PER_TERM + 1) * IV_FENCES_PER_TERM - 1;
   fleet->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_worker);
   fleet->by_handle = g_hash_table_new (NULL, NULL);
   fleet->reserved = g_hash_table_new (NULL, NULL);
@@ -82,6 +84,9 @@
 static void
 reset_instance (struct iv_fleet *fleet, struct iv_fleet_worker *worker, gint64 start_time_ms)
 {
+  if (worker->handle > 0 && fleet->fence < fleet->fence_max)
+    fleet->fence++;
+  worker->fence = fleet->fence;
   g_hash_table_remove (fleet->by_handle, GUINT_TO_POINTER (worker->handle));
   worker->handle = ++fleet->next_handle;
   g_hash_table_insert (fleet->by_handle, GUINT_TO_POINTER (worker->handle), worker);
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -132,6 +132,7 @@
   gboolean inherited;         /**< it was in the roster of the previous owner... */
   gboolean drained_with_runs; /**< ...as draining */
   gint64 start_time_ms;       /**< wall clock; start of its present instance */
+  gint64 fence;               /**< of calls to that instance */
   /** An entry by which the worker has restarted, until an answer of the worker itself, or the end
    * of its runs, decides; NULL: none. */
   struct iv_listed_worker *claim;
@@ -192,9 +193,17 @@
   GHashTable *reserved;  /**< from struct iv_job_task to the worker that is reserved for it */
   GHashTable *by_handle; /**< from handle to struct iv_fleet_worker */
   guint32 next_handle;   /**< the handle assigned last */
+  gint64 fence;          /**< of instances that are learnt of next */
+  gint64 fence_max;      /**< highest fence of this owner */
 };
 
-struct iv_fleet *iv_fleet_new (void);
+/** Terms of owners are multiples of this, and an owner has the fences from its term to the next: an
+ *  instance under the same id as one before gets a higher one, so that it refuses late calls that
+ *  were meant for that. */
+#define IV_FENCES_PER_TERM 1024
+
+/** Create the workers of an owner under @a term. */
+struct iv_fleet *iv_fleet_new (gint64 term);
 void iv_fleet_free (struct iv_fleet *fleet);
 
 /** A handle that names no worker. */
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -35,7 +35,7 @@
 {
   struct iv_owner *owner = g_new0 (struct iv_owner, 1);
   owner->jobs = jobs;
-  owner->fleet = iv_fleet_new ();
+  owner->fleet = iv_fleet_new (term);
   owner->model = iv_interference_new (&sharing_prior);
   owner->limits = *limits;
   owner->effects = *effects;
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -497,8 +497,8 @@
 }
 
 /* From the first reply on the worker refuses the calls of previous owners, which may have extended
-   leases until just now. Calls meant for the instance before may have given this one the longest
-   lease, as they name times on another clock. */
+   leases until just now, and calls meant for the instance before. These may have given it the
+   longest lease, as they name times on another clock. */
 static void
 note_first_reply (struct iv_owner *owner, struct iv_fleet_worker *worker, gint64 clock,
                   gint64 now_ms)
@@ -544,6 +544,14 @@
   if (!iv_owner_instance_replied (owner, worker, reply->start_time_ms, reply->clock, now_ms))
     return;
   note_reply (worker, reply->clock, now_ms);
+  if (worker->handle != handle)
+    {
+      /* The call told of a newer instance, and had the fence of the one before. Until the new
+         instance has replied to a higher one, late calls may still change its lease and its ends.
+       */
+      worker->next_poll_ms = now_ms;
+      return;
+    }
   if (!worker->fenced)
     note_first_reply (owner, worker, reply->clock, now_ms);
   apply_poll_reply (owner, worker, reply, now_ms);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -42,6 +42,7 @@
   call->lease_end_clock_ms = lease_end_clock_ms;
   call->acked_end = worker->acked_end;
   call->wait_until_ms = sim->now_ms + wait_ms;
+  call->late_ms = sim->workers[call->worker].late_polls_ms;
   sim->workers[call->worker].polls++;
 }
 
@@ -414,12 +415,12 @@
                                       .count_elsewhere = on_count_elsewhere,
                                       .move_job = on_move_job };
   iv_owner_free (sim->owner);
-  sim->term++;
+  sim->term += IV_FENCES_PER_TERM;
   sim->owner
       = iv_owner_new (sim->job_table, sim->term, &sim->limits, &effects, sim->now_ms, sim->wall_ms);
   if (sim->roster)
     iv_owner_load_roster (sim->owner, sim->roster->data, sim->roster->len, sim->now_ms);
-  else if (sim->term > 1)
+  else if (sim->term > IV_FENCES_PER_TERM)
     iv_owner_load_roster (sim->owner, NULL, 0, sim->now_ms);
   sim_list_workers (sim);
   store_roster (sim);
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -41,7 +41,7 @@
   gint64 clock;              /**< its own clock, milliseconds */
   gint64 clock_slow_percent; /**< its clock runs this much slow */
   gint64 clock_rest;         /**< what the clock owes, hundredths of a millisecond */
-  gint64 fence;              /**< highest term seen; calls with a lower one are refused */
+  gint64 fence;              /**< highest one seen; calls with a lower one are refused */
   gint64 lease_end_clock_ms; /**< end of the lease of its runs, on its clock */
   gint64 capacity_milli;
   gint64 mem_mb;
@@ -74,6 +74,7 @@
   /** When not 0: starts that are sent now get no reply, and the instance that is there after this
    *  time carries them out. Longer than the timeout of a call. */
   gint64 late_starts_ms;
+  gint64 late_polls_ms; /**< the same for polls */
 };
 
 /** A call that has not been delivered, or has no reply yet. */
@@ -127,12 +128,15 @@
   guint deadly_starts[SIM_DEADLY_MAX];               /**< by index of the deadly task */
   guint beside_suspect;  /**< starts on a worker that holds such a task */
   gint64 crash_after_ms; /**< from the start of a deadly task to the crash */
-  gboolean gangs_break;  /**< a gang without a member ends, as on the platform */
-  gint64 run_ms;         /**< tasks that are not deadly end as done after this; 0: never */
-  guint no_ticket;       /**< starts that were refused for lack of a ticket */
-  guint attempts;        /**< failed runs of a task that end its job */
-  GPtrArray *calls;      /**< of struct sim_call */
-  guint start_credit;    /**< starts that each dispatch may send */
+  /** Late calls that were meant for the instance before are carried out as if they had come before
+   *  the first one that was meant for the present instance, whose fence is higher. */
+  gboolean late_calls_come_first;
+  gboolean gangs_break; /**< a gang without a member ends, as on the platform */
+  gint64 run_ms;        /**< tasks that are not deadly end as done after this; 0: never */
+  guint no_ticket;      /**< starts that were refused for lack of a ticket */
+  guint attempts;       /**< failed runs of a task that end its job */
+  GPtrArray *calls;     /**< of struct sim_call */
+  guint start_credit;   /**< starts that each dispatch may send */
   guint start_calls;
   guint over_capacity;  /**< starts that brought a worker over its capacity */
   guint refused_starts; /**< starts that a worker refused for lack of capacity */
--- a/jobs/tests/bench_private.h
+++ b/jobs/tests/bench_private.h
@@ -21,6 +21,7 @@
 {
   enum call_kind kind;
   gint64 term;
+  gint64 fence;
   guint worker;
   guint32 handle;
   struct iv_task_name name;
--- a/jobs/tests/bench_worker.c
+++ b/jobs/tests/bench_worker.c
@@ -22,6 +22,7 @@
   struct sim_call *call = g_new0 (struct sim_call, 1);
   call->kind = kind;
   call->term = sim->term;
+  call->fence = worker->fence;
   call->worker = sim_worker_index (sim, worker->id);
   call->handle = worker->handle;
   g_strlcpy (call->address, worker->address, sizeof call->address);
@@ -196,6 +197,21 @@
   return strcmp (call->address, sim->workers[call->worker].address) != 0;
 }
 
+/* A worker may also forget ends that no reply has listed. */
+static void
+forget_ends (struct sim_worker *worker, gint64 acked_end)
+{
+  while (worker->ends->len > 0
+         && g_array_index (worker->ends, struct iv_listed_end, 0).sequence <= acked_end)
+    g_array_remove_index (worker->ends, 0);
+}
+
+static gint64
+compared_fence (const struct sim *sim, gint64 fence)
+{
+  return sim->late_calls_come_first ? fence / IV_FENCES_PER_TERM : fence;
+}
+
 static void
 handle_call (struct sim *sim, struct sim_call *call)
 {
@@ -208,12 +224,12 @@
       call->clock = 0;
       return;
     }
-  if (call->term < worker->fence)
+  if (compared_fence (sim, call->fence) < compared_fence (sim, worker->fence))
     {
       call->outcome = IV_COMMAND_FENCED;
       return;
     }
-  worker->fence = call->term;
+  worker->fence = call->fence;
   if (call->kind == CALL_START)
     call->outcome = handle_start (sim, worker, call);
   else if (call->kind == CALL_STOP)
@@ -221,6 +237,8 @@
   else
     {
       extend_lease (worker, call->lease_end_clock_ms);
+      if (call->late_ms > 0)
+        forget_ends (worker, call->acked_end);
       call->outcome = IV_COMMAND_OK;
     }
 }
--- a/jobs/tests/owner_test.c
+++ b/jobs/tests/owner_test.c
@@ -578,7 +578,7 @@
   struct sim *sim = sim_new (1);
   sim_start_owner (sim);
   sim_advance (sim, 100);
-  sim->workers[0].fence = 99;
+  sim->workers[0].fence = sim->term + IV_FENCES_PER_TERM;
   sim_make_job (1, 0);
   sim_submit (sim, JOB_ID, &sim_spec);
   sim_advance (sim, 100);
--- a/jobs/tests/rebirth_test.c
+++ b/jobs/tests/rebirth_test.c
@@ -82,6 +82,7 @@
 cell_with_idle_workers (gint64 owned_ms)
 {
   struct sim *sim = sim_new (2);
+  sim->late_calls_come_first = TRUE;
   sim->workers[0].clock = 0;
   sim->workers[1].capacity_milli = 0;
   sim_start_owner (sim);
@@ -241,8 +242,9 @@
 static void
 next_owner_settles (struct sim *sim)
 {
-  struct sim_run run = { .name = { .job = JOB_ID }, .number = (2 << 20) + 1 };
-  sim->workers[0].fence = sim->workers[1].fence = 2;
+  gint64 term = sim->term + IV_FENCES_PER_TERM;
+  struct sim_run run = { .name = { .job = JOB_ID }, .number = (term << 20) + 1 };
+  sim->workers[0].fence = sim->workers[1].fence = term;
   sim->workers[1].lease_end_clock_ms = sim->workers[1].clock + 8000;
   g_array_append_val (sim->workers[1].runs, run);
 }
@@ -471,6 +473,107 @@
   sim_free (sim);
 }
 
+static void
+advance_until_run (struct sim *sim, guint worker)
+{
+  for (guint i = 0; i < 500 && sim->workers[worker].runs->len == 0; i++)
+    sim_advance (sim, 10);
+  assert_int_equal (sim->workers[worker].runs->len, 1);
+}
+
+/* Guards against a second run of a task while the first one goes on: a late poll that was meant for
+   the instance before gave its worker the longest lease, of which the owner did not know. */
+static void
+test_late_poll_does_not_lengthen_the_lease_of_the_next_instance (void **state)
+{
+  for (gint64 late_ms = 3000; late_ms <= 9000; late_ms += 1000)
+    {
+      struct sim *sim = cell_with_idle_workers (60000);
+      sim->late_calls_come_first = FALSE;
+      sim_submit (sim, JOB_ID, &sim_spec);
+      advance_until_run (sim, 0);
+      sim->workers[0].late_polls_ms = late_ms;
+      sim_advance (sim, 1000);
+      sim->workers[0].late_polls_ms = 0;
+      sim_restart_worker (sim, 0);
+      sim_list_worker (sim, 0);
+      advance_until_run (sim, 0);
+      give_capacity (sim);
+      /* Cut off from when the longest lease that the owner knows of has ended. */
+      sim_advance (sim, 11000);
+      assert_int_equal (sim->workers[0].runs->len, 1);
+      sim->workers[0].unreachable = TRUE;
+      assert_true (sim_advance_without_duplicates (sim, 12000));
+      sim_free (sim);
+    }
+}
+
+/* The same where the owner learns of the new instance by its reply to a call that was meant for the
+   one before, and has nothing to start there yet. */
+static void
+test_new_instance_gets_its_fence_at_once (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (60000);
+  sim->late_calls_come_first = FALSE;
+  sim_submit (sim, JOB_ID, &sim_spec);
+  advance_until_run (sim, 0);
+  sim->workers[0].late_polls_ms = 6000;
+  sim_advance (sim, 1000);
+  sim->workers[0].late_polls_ms = 0;
+  sim->evidence_age_ms = EVIDENCE_MAX_AGE_MS;
+  sim_restart_worker (sim, 0);
+  sim->workers[0].next_entry_ms = 0;
+  sim_advance (sim, 6500);
+  sim_list_worker (sim, 0);
+  sim->evidence_age_ms = 0;
+  advance_until_run (sim, 0);
+  sim->workers[0].unreachable = TRUE;
+  give_capacity (sim);
+  assert_true (sim_advance_without_duplicates (sim, 14000));
+  sim_free (sim);
+}
+
+/* Guards against a task that runs again after its end: a late poll that was meant for the instance
+   before made the next one forget it before any reply had listed it. */
+static void
+test_late_poll_takes_no_ends_of_the_next_instance (void **state)
+{
+  struct sim *sim = cell_with_idle_workers (60000);
+  guint started;
+  sim->late_calls_come_first = FALSE;
+  for (guint i = 0; i < 20; i++)
+    {
+      char id[IV_JOB_ID_LEN + 1];
+      g_snprintf (id, sizeof id, "%016x", 0x200 + i);
+      sim_submit (sim, id, &sim_spec);
+      sim_advance (sim, 200);
+      sim_end_all_runs (sim, IV_END_DONE);
+      sim_advance (sim, 800);
+    }
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  advance_until_run (sim, 0);
+  sim->workers[0].late_polls_ms = 3000;
+  sim_advance (sim, 600);
+  sim->workers[0].late_polls_ms = 0;
+  sim_restart_worker (sim, 0);
+  sim_list_worker (sim, 0);
+  advance_until_run (sim, 0);
+  started = sim->start_calls;
+  /* Ends and late polls alternate, so that some end has not been listed when one comes. */
+  for (guint i = 0; i < 300; i++)
+    {
+      sim->workers[0].drops_replies = TRUE;
+      if (i == 100)
+        sim_end_all_runs (sim, IV_END_DONE);
+      sim_advance (sim, 10);
+    }
+  sim->workers[0].drops_replies = FALSE;
+  sim_advance (sim, 6000);
+  assert_int_equal (sim_job_state (sim, OTHER_JOB_ID), IVJ_COMPLETED);
+  assert_int_equal (sim->start_calls, started);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -488,6 +591,9 @@
     cmocka_unit_test (test_odd_entry_loses_no_idle_worker),
     cmocka_unit_test (test_own_answer_refutes_an_entry),
     cmocka_unit_test (test_claimed_restart_counts_the_longest_lease),
+    cmocka_unit_test (test_late_poll_does_not_lengthen_the_lease_of_the_next_instance),
+    cmocka_unit_test (test_new_instance_gets_its_fence_at_once),
+    cmocka_unit_test (test_late_poll_takes_no_ends_of_the_next_instance),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
