Run the jobs of a removed queue on under its last policy

The host that accepts a job records the policy of its queue in the same append, unless that is recorded already: service, priority, attempts, objective, and whether starts need tickets or are checked for capacity. An owner uses it once the configuration that it has read names the queue no more, so that such a job starts only where a configuration has sent it. Requests are still answered by the newest configuration: 404 for a queue that is not there.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -145,6 +145,7 @@
   iv_worker_pace (((struct iv_cell_task *)context)->calls, worker, name, number, percent);
 }
 
+/* Jobs of a queue that was removed are run on. */
 static gboolean
 get_queue_policy (void *context, const char *host, const char *prefix,
                   struct iv_queue_policy *policy)
@@ -153,14 +154,8 @@
   const struct iv_routes *routes = task->deps.routes (task->deps.context);
   const struct iv_route *route = routes ? iv_routes_find (routes, host, prefix) : NULL;
   if (route == NULL)
-    return FALSE;
-  policy->service = route->service;
-  policy->priority = route->priority;
-  policy->attempts = (guint)MAX (route->attempts, 1);
-  policy->stretch = route->stretch;
-  policy->objective_ms = route->objective_ms;
-  policy->advised = route->advised;
-  policy->checks_capacity = route->checks_capacity;
+    return routes && iv_queues_find (task->deps.queues, host, prefix, policy);
+  *policy = iv_route_policy (route);
   return TRUE;
 }
 
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -10,6 +10,7 @@
 #include "call_limits.h"
 #include "layout.h"
 #include "membership.h"
+#include "queues.h"
 #include "stream.h"
 #include "wire.h"
 
@@ -24,6 +25,7 @@
   struct iv_stream *jobs;
   struct iv_stream *operators; /**< configuration, and failure domains out of service */
   struct iv_job_table *job_table;
+  struct iv_queues *queues; /**< as recorded */
   struct iv_membership *membership;
   const struct iv_fleet_settings *settings;
   void *context;
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -40,6 +40,7 @@
   struct iv_deadlines *deadlines;
   struct iv_store *store;
   struct iv_job_table *job_table;
+  struct iv_queues *queues;
   struct iv_routes *routes;
   GHashTable *domains_out; /* set of the names of failure domains out of service */
   struct iv_stream *jobs;
@@ -181,17 +182,27 @@
   return FALSE;
 }
 
-static void
-apply_job_record (void *context, const char *key, const guint8 *value, gsize len)
+/* A record of the jobs' topic that is of no cell: of the layout, a queue or a job. */
+static enum iv_status
+apply_common_record (struct iv_fleet_app *app, const char *key, const guint8 *value, gsize len)
 {
-  struct iv_fleet_app *app = context;
   if (strcmp (key, IV_KEY_LAYOUT) == 0)
     {
       if (value)
         iv_layout_task_apply (app->layout, (const char *)value, len);
+      return IV_OK;
     }
-  else if (!apply_cell_record (app, key, value, len)
-           && iv_job_table_apply (app->job_table, key, value, len) != IV_OK)
+  if (g_str_has_prefix (key, IV_KEY_QUEUE))
+    return value ? iv_queues_apply (app->queues, value, len) : IV_OK;
+  return iv_job_table_apply (app->job_table, key, value, len);
+}
+
+static void
+apply_job_record (void *context, const char *key, const guint8 *value, gsize len)
+{
+  struct iv_fleet_app *app = context;
+  if (!apply_cell_record (app, key, value, len)
+      && apply_common_record (app, key, value, len) != IV_OK)
     iv_event (IV_LEVEL_WARNING, "record.ignored", "key=%s reason=%s", iv_quote (key),
               iv_quote (iv_last_message ()));
 }
@@ -352,6 +363,7 @@
                                     .jobs = app->jobs,
                                     .operators = app->operators,
                                     .job_table = app->job_table,
+                                    .queues = app->queues,
                                     .membership = app->membership,
                                     .settings = &app->settings->fleet,
                                     .context = app,
@@ -377,6 +389,7 @@
                                      .deadlines = app->deadlines,
                                      .jobs = app->jobs,
                                      .job_table = app->job_table,
+                                     .queues = app->queues,
                                      .settings = app->settings,
                                      .context = app,
                                      .routes = get_routes,
@@ -496,6 +509,7 @@
   app->settings = settings;
   app->deadlines = iv_deadlines_new (loop);
   app->job_table = iv_job_table_new ();
+  app->queues = iv_queues_new ();
   app->loads = iv_cell_loads_new ();
   app->domains_out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client = iv_http_client_new (loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 16 * MIB);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -168,6 +168,24 @@
          && iv_recorder_append_pending (task->deps.recorder);
 }
 
+/* Records the policy of the queue with the first job that is accepted under it. */
+static void
+record_queue (struct iv_front_task *task, const struct iv_route *route)
+{
+  const struct iv_queue_policy policy = iv_route_policy (route);
+  GByteArray *bytes;
+  char *key;
+  if (iv_queues_has (task->deps.queues, route->host, route->prefix, &policy))
+    return;
+  bytes = iv_queues_encode (route->host, route->prefix, &policy, &key);
+  if (bytes)
+    {
+      iv_recorder_add (task->deps.recorder, key, bytes->data, bytes->len, NULL, NULL);
+      g_byte_array_free (bytes, TRUE);
+    }
+  g_free (key);
+}
+
 static void
 store_job (struct iv_front_task *task, struct iv_http_request *request, const char *id,
            const struct iv_route *route, ivj_job *job)
@@ -185,6 +203,7 @@
       reject (request, 413, id, "the job is too large");
       return;
     }
+  record_queue (task, route);
   store_wait = store_wait_new (task, request, id);
   g_hash_table_insert (task->pending_submissions, store_wait->id, store_wait);
   iv_recorder_add (task->deps.recorder, id, bytes->data, bytes->len, on_stored, store_wait);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -9,6 +9,7 @@
 #ifndef IV_FRONT_TASK_H
 #define IV_FRONT_TASK_H
 
+#include "queues.h"
 #include "recorder.h"
 #include "settings.h"
 #include "stream.h"
@@ -22,6 +23,7 @@
   struct iv_recorder *recorder;
   struct iv_stream *jobs;
   struct iv_job_table *job_table;
+  struct iv_queues *queues; /**< as recorded */
   const struct iv_settings *settings;
   void *context;
   /** Configuration in force; NULL before it was read. */
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -365,6 +365,38 @@
   g_byte_array_free (record, TRUE);
 }
 
+/* Guards against accepted jobs that are lost with their queue: the operator removes it after the
+   first of two steps has begun. */
+static void
+test_jobs_of_a_removed_queue_are_run_on (void **state)
+{
+  static const char path[] = "/q/00000000000000ab";
+  static const char without_queue[]
+      = "{\"Version\":2,\"Routes\":[],\"Services\":[{\"Name\":\"s\"}]}";
+  char *with_queue = g_strdup (config_text);
+  guint starts;
+  worker->run_ms = 300;
+  for (gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS; (gint64)uv_now (loop) < end;)
+    if (send_request ("POST", callers_address, path,
+                      "{\"Steps\":[{\"Count\":2,\"Cpu\":1,\"MemMb\":1},"
+                      "{\"Count\":2,\"Cpu\":1,\"MemMb\":1,\"DependsOn\":[0]}]}")
+            .status
+        == 200)
+      break;
+  poll_until (callers_address, path, "running", 200);
+  starts = worker->starts;
+  store_standin_put (store, "keyed.op", "config", without_queue);
+  poll_until (callers_address, path, "", 404);
+  for (gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
+       worker->starts < starts + 2 && (gint64)uv_now (loop) < end;)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (worker->starts, starts + 2);
+  strstr (with_queue, ":1,")[1] = '3';
+  store_standin_put (store, "keyed.op", "config", with_queue);
+  poll_until (callers_address, path, "completed", 200);
+  g_free (with_queue);
+}
+
 int
 main (void)
 {
@@ -378,6 +410,7 @@
     cmocka_unit_test (test_odd_records_stop_nothing),
     cmocka_unit_test (test_metrics_are_served),
     cmocka_unit_test (test_state_recorded_by_another_owner_is_told_at_once),
+    cmocka_unit_test (test_jobs_of_a_removed_queue_are_run_on),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -55,6 +55,19 @@
   hyper accepted_ms;
 };
 
+/* Policy of a queue, for its jobs when the configuration names it no more. */
+struct ivj_queue {
+  string host<IVJ_TEXT_MAX>;
+  string prefix<IVJ_TEXT_MAX>;
+  string service<IVJ_TEXT_MAX>;
+  hyper priority;
+  unsigned attempts;
+  double stretch;
+  hyper objective_ms;
+  bool advised;
+  bool checks_capacity;
+};
+
 struct ivj_failure {
   unsigned index;
   hyper runs<IVJ_RUNS_MAX>;
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -181,6 +181,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ivj_queue (XDR *xdrs, ivj_queue *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->host, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->stretch))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->objective_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->advised))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->checks_capacity))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ivj_failure (XDR *xdrs, ivj_failure *objp)
 {
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -85,6 +85,19 @@
 };
 typedef struct ivj_job ivj_job;
 
+struct ivj_queue {
+	char *host;
+	char *prefix;
+	char *service;
+	quad_t priority;
+	u_int attempts;
+	double stretch;
+	quad_t objective_ms;
+	bool_t advised;
+	bool_t checks_capacity;
+};
+typedef struct ivj_queue ivj_queue;
+
 struct ivj_failure {
 	u_int index;
 	struct {
@@ -190,6 +203,7 @@
 extern  bool_t xdr_ivj_model (XDR *, ivj_model*);
 extern  bool_t xdr_ivj_step (XDR *, ivj_step*);
 extern  bool_t xdr_ivj_job (XDR *, ivj_job*);
+extern  bool_t xdr_ivj_queue (XDR *, ivj_queue*);
 extern  bool_t xdr_ivj_failure (XDR *, ivj_failure*);
 extern  bool_t xdr_ivj_step_progress (XDR *, ivj_step_progress*);
 extern  bool_t xdr_ivj_occurrence (XDR *, ivj_occurrence*);
@@ -207,6 +221,7 @@
 extern bool_t xdr_ivj_model ();
 extern bool_t xdr_ivj_step ();
 extern bool_t xdr_ivj_job ();
+extern bool_t xdr_ivj_queue ();
 extern bool_t xdr_ivj_failure ();
 extern bool_t xdr_ivj_step_progress ();
 extern bool_t xdr_ivj_occurrence ();
