--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-${CC:-gcc} -O1 -Wall -Wno-format-truncation -Wno-restrict -o target/review-2/sim-2 review/sim-2.c -ljansson
+${CC:-gcc} -O1 -Wall -Wno-format-truncation -Wno-restrict -o target/review-2/sim-2 -x c review/sim-2.inc -x none -ljansson
