--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -10,20 +10,13 @@
 
 #include "job_exec.h"
 #include "pieces.h"
+#include "resources.h"
 
 /** The platform's task protocol permits a worker's clock to run slow by this much. */
 #define IV_WORKER_CLOCK_SLOW_PERCENT 2
 #define IV_LEASE_MARGIN_PERCENT 102 /**< a lease lasts this long by the slowest clock */
 #define IV_FULL_SPEED_PERCENT 100   /**< CPU limit of a run that is not throttled */
 
-/** An amount of compute resources. */
-struct iv_resources
-{
-  gint64 cpu_milli; /**< cores, in thousandths */
-  gint64 mem_mb;    /**< memory, in MiB */
-  gint64 accelerators;
-};
-
 /** A worker as listed by the platform. The strings belong to the caller and are copied. */
 struct iv_listed_worker
 {
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -2,6 +2,7 @@
 
 #include "status.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define TIME_MAX_MS G_GINT64_CONSTANT (253402300799999) /* the end of the year 9999 */
@@ -43,6 +44,7 @@
   forget_failures (job);
   if (job->delegations)
     g_array_unref (job->delegations);
+  g_free (job->workspace);
   g_free (job);
 }
 
@@ -79,6 +81,7 @@
   job = g_new0 (struct iv_job_entry, 1);
   g_strlcpy (job->id, id, sizeof job->id);
   job->moved_to = -1;
+  job->workspace = g_strdup ("");
   g_hash_table_insert (table->jobs, job->id, job);
   return job;
 }
@@ -130,22 +133,37 @@
   return IV_OK;
 }
 
+/* Decodes a job alone, or one with its workspace; `workspace` stays NULL for a job alone. */
+static enum iv_status
+decode_spec (const guint8 *value, gsize len, ivj_job_record *record)
+{
+  enum iv_status status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job, value, len, &record->job);
+  if (status == IV_OK)
+    return IV_OK;
+  memset (record, 0, sizeof *record);
+  return iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job_record, value, len, record);
+}
+
 static enum iv_status
 apply_spec (struct iv_job_entry *job, const guint8 *value, gsize len)
 {
-  ivj_job spec = { 0 };
+  ivj_job_record record = { 0 };
   enum iv_status status;
   if (job->accepted)
     return IV_OK;
-  status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job, value, len, &spec);
-  if (status == IV_OK)
-    status = iv_job_validate (&spec);
+  status = decode_spec (value, len, &record);
+  if (status != IV_OK)
+    return status;
+  status = iv_job_validate (&record.job);
   if (status != IV_OK)
     {
-      xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&spec);
+      xdr_free ((xdrproc_t)xdr_ivj_job_record, (char *)&record);
       return status;
     }
-  job->spec = spec;
+  job->spec = record.job;
+  g_free (job->workspace);
+  job->workspace = g_strdup (record.workspace ? record.workspace : "");
+  free (record.workspace);
   job->accepted = TRUE;
   return IV_OK;
 }
@@ -325,6 +343,15 @@
   return g_hash_table_size (table->jobs);
 }
 
+GByteArray *
+iv_job_encode_spec (const ivj_job *spec, const char *workspace)
+{
+  const ivj_job_record record = { *spec, (char *)workspace };
+  if (*workspace == '\0')
+    return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, spec, IV_RECORD_MAX_BYTES);
+  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job_record, &record, IV_RECORD_MAX_BYTES);
+}
+
 GByteArray *
 iv_job_encode_ended (const struct iv_job_entry *job)
 {
@@ -333,5 +360,5 @@
   if (!iv_job_state_is_final (job->live_state) || strlen (job->spec.spec) <= SPEC_KEPT_BYTES)
     return NULL;
   ended.spec = no_text;
-  return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, &ended, IV_RECORD_MAX_BYTES);
+  return iv_job_encode_spec (&ended, job->workspace);
 }
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -46,6 +46,7 @@
   gboolean cancel;   /**< a cancellation was recorded */
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
+  char *workspace;           /**< that it was accepted for; "" when it has none */
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
   GPtrArray *failures;       /**< of ivj_progress, as recorded with IV_KEY_FAILURES; NULL: none */
@@ -105,6 +106,10 @@
  *  limit or a step depends on a later one. */
 enum iv_status iv_job_validate (const ivj_job *spec);
 
+/** Record of the id of a job: @a spec, and the workspace that it was accepted for ("": none). NULL
+ *  when it is too large. Free with g_byte_array_free(). */
+GByteArray *iv_job_encode_spec (const ivj_job *spec, const char *workspace);
+
 /** Record of the id of a job that has ended, without the specification that its tasks were started
  *  with: hosts that restart read all jobs of the retention time. To be stored with its final
  *  progress; hosts that know the job ignore it. NULL when the job has not ended, or little would be
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -181,6 +181,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ivj_job_record (XDR *xdrs, ivj_job_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ivj_job (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, IVJ_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ivj_queue (XDR *xdrs, ivj_queue *objp)
 {
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -85,6 +85,12 @@
 };
 typedef struct ivj_job ivj_job;
 
+struct ivj_job_record {
+	ivj_job job;
+	char *workspace;
+};
+typedef struct ivj_job_record ivj_job_record;
+
 struct ivj_queue {
 	char *host;
 	char *prefix;
@@ -218,6 +224,7 @@
 extern  bool_t xdr_ivj_model (XDR *, ivj_model*);
 extern  bool_t xdr_ivj_step (XDR *, ivj_step*);
 extern  bool_t xdr_ivj_job (XDR *, ivj_job*);
+extern  bool_t xdr_ivj_job_record (XDR *, ivj_job_record*);
 extern  bool_t xdr_ivj_queue (XDR *, ivj_queue*);
 extern  bool_t xdr_ivj_failure (XDR *, ivj_failure*);
 extern  bool_t xdr_ivj_step_progress (XDR *, ivj_step_progress*);
@@ -238,6 +245,7 @@
 extern bool_t xdr_ivj_model ();
 extern bool_t xdr_ivj_step ();
 extern bool_t xdr_ivj_job ();
+extern bool_t xdr_ivj_job_record ();
 extern bool_t xdr_ivj_queue ();
 extern bool_t xdr_ivj_failure ();
 extern bool_t xdr_ivj_step_progress ();
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -149,6 +149,22 @@
   GPtrArray *steps; /**< of const ivj_step: the cell must be able to hold each of them */
 };
 
+/** What a workspace may have running in a cell. */
+struct iv_workspace_limit
+{
+  gboolean limited;           /**< FALSE: no limit at all; `max` has no meaning then */
+  struct iv_resources max;    /**< -1 in a resource: no limit for it */
+  gboolean may_exceed_by_one; /**< the last task may exceed the limit */
+};
+
+/** What the tasks of a workspace use in a cell, and what they lack for its limit alone. */
+struct iv_workspace_demand
+{
+  const char *workspace;
+  struct iv_resources used;   /**< by runs that exist, or may */
+  struct iv_resources wanted; /**< by tasks that wait for nothing but the limit */
+};
+
 /** Callbacks of the owner. Replies come back through the functions named *_replied(). */
 struct iv_owner_effects
 {
@@ -191,6 +207,11 @@
                              const struct iv_delegation *delegation);
   /** Record that @a cell serves @a job from now on. */
   void (*move_job) (void *context, const struct iv_job_entry *job, guint cell);
+  /** What @a workspace may have running in this cell. NULL: there are no workspaces. */
+  void (*workspace_limit) (void *context, const char *workspace, struct iv_workspace_limit *limit);
+  /** Weight of @a workspace, which is also the number of jobs a second that it is owed; 0: it is
+   *  not known. NULL: there are no workspaces. */
+  double (*workspace_weight) (void *context, const char *workspace);
 };
 
 /** Free CPU capacity of a cell, in thousandths of a core. */
