--- a/workspace/workspaces.c
+++ b/workspace/workspaces.c
@@ -85,8 +85,7 @@
       g_free (digest);
       return iv_fail (IV_ERR_INVALID, "a key that was named before");
     }
-  g_hash_table_insert (workspaces->by_key, digest,
-                       g_hash_table_lookup (workspaces->by_name, name));
+  g_hash_table_insert (workspaces->by_key, digest, g_hash_table_lookup (workspaces->by_name, name));
   return IV_OK;
 }
 
