Require keys of workspaces for requests

The configuration may name workspaces and their keys. A host judges each request by the configuration in force: 401 without a valid key, 403 for a job of another workspace, 503 with fleet.revoke once the configuration was not confirmed for that long. The workspace is stored with the job. A job is free of keys only when its own queue and the one that was asked are public: jobs are found by id alone, so that anybody could cancel any job through the path of a public queue.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -68,6 +68,12 @@
   return ((struct iv_fleet_app *)context)->routes;
 }
 
+static gint64
+config_age_ms (void *context)
+{
+  return iv_stream_age_ms (((struct iv_fleet_app *)context)->operators);
+}
+
 static gboolean
 is_domain_in_service (void *context, const char *domain)
 {
@@ -265,6 +271,30 @@
     iv_cell_task_changed (app->cells[i], NULL);
 }
 
+static void
+ignore_barrier (void *context)
+{
+}
+
+/* A load does not count as a complete read. Without a barrier the first read would wait for a
+   record, and requests that need a key would be refused meanwhile. */
+static void
+on_operators_loaded (void *context)
+{
+  struct iv_fleet_app *app = context;
+  if (app->settings->fleet.revoke_ms > 0)
+    iv_stream_barrier (app->operators, ignore_barrier, app);
+}
+
+/* The configuration is confirmed anew often enough for keys to be trusted while the store
+   answers. */
+static gint64
+operators_wait_ms (const struct iv_fleet_app *app)
+{
+  gint64 revoke_ms = app->settings->fleet.revoke_ms;
+  return revoke_ms > 0 ? MIN (OPERATORS_WAIT_MS, revoke_ms / 4) : OPERATORS_WAIT_MS;
+}
+
 static void
 start_streams (struct iv_fleet_app *app)
 {
@@ -277,9 +307,10 @@
           .apply = apply_job_record,
           .context = app };
   struct iv_stream_options operators = { .topic = IV_TOPIC_OPERATORS,
-                                         .wait_ms = OPERATORS_WAIT_MS,
+                                         .wait_ms = operators_wait_ms (app),
                                          .read_delay_ms = OPERATORS_READ_DELAY_MS,
                                          .apply = apply_operator_record,
+                                         .loaded = on_operators_loaded,
                                          .context = app };
   app->jobs = iv_stream_new (app->loop, app->deadlines, app->store, &jobs);
   app->operators = iv_stream_new (app->loop, app->deadlines, app->store, &operators);
@@ -413,6 +444,7 @@
                                      .settings = app->settings,
                                      .context = app,
                                      .routes = get_routes,
+                                     .config_age_ms = config_age_ms,
                                      .has_capacity = has_capacity };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -1,6 +1,8 @@
 #include "front_task.h"
 
+#include "access.h"
 #include "clock.h"
+#include "counter.h"
 #include "event.h"
 #include "histogram.h"
 #include "names.h"
@@ -34,6 +36,8 @@
 {
   struct iv_front_task *task;
   struct iv_http_request *request; /* NULL once answered */
+  struct iv_access_caller caller;  /* as identified when the request arrived */
+  char *workspace;                 /* storage of `caller.workspace` */
   struct iv_deadline deadline;
   char id[IV_JOB_ID_LEN + 1];
   gboolean cancel;
@@ -48,18 +52,24 @@
   iv_http_respond (request, status, "application/json", NULL, json, strlen (json));
 }
 
+static void
+respond_reason (struct iv_http_request *request, int status, const char *reason,
+                const struct iv_http_header *headers)
+{
+  char *json = g_strdup_printf ("{\"reason\":\"%s\"}", reason);
+  iv_http_respond (request, status, "application/json", headers, json, strlen (json));
+  g_free (json);
+}
+
 static void
 reject_with_retry (struct iv_http_request *request, int status, const char *id, const char *reason,
                    const char *retry_s)
 {
   const struct iv_http_header retry_headers[] = { { "Retry-After", retry_s }, { NULL, NULL } };
-  char *json = g_strdup_printf ("{\"reason\":\"%s\"}", reason);
   iv_event (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, "request.refused",
             "job=%s status=%d retry_s=%s reason=%s", *id ? id : "-", status,
             retry_s ? retry_s : "-", iv_quote (reason));
-  iv_http_respond (request, status, "application/json", retry_s ? retry_headers : NULL, json,
-                   strlen (json));
-  g_free (json);
+  respond_reason (request, status, reason, retry_s ? retry_headers : NULL);
 }
 
 static void
@@ -68,6 +78,55 @@
   reject_with_retry (request, status, id, reason, status == 503 ? RETRY_STORE_S : NULL);
 }
 
+static void
+count_access (enum iv_access verdict)
+{
+  char *label = g_strdup_printf ("verdict=\"%s\"", iv_access_name (verdict));
+  iv_counter_add (iv_counter_get ("ibisvane_access_total", label,
+                                  "Decisions on the keys of requests, by verdict."),
+                  1);
+  g_free (label);
+}
+
+/* Whether @a verdict admits the request; if not, the request has been answered. The line names
+   neither the key nor the workspace of the job. */
+static gboolean
+is_admitted (const struct iv_front_task *task, struct iv_http_request *request,
+             const struct iv_access_caller *caller, const char *id, enum iv_access verdict)
+{
+  static const struct iv_http_header challenge[]
+      = { { "WWW-Authenticate", "Bearer" }, { NULL, NULL } };
+  static const struct iv_http_header retry[] = { { "Retry-After", RETRY_STORE_S }, { NULL, NULL } };
+  const struct iv_http_header *const headers[] = { [IV_ACCESS_KEY_MISSING] = challenge,
+                                                   [IV_ACCESS_KEY_MALFORMED] = challenge,
+                                                   [IV_ACCESS_KEY_UNKNOWN] = challenge,
+                                                   [IV_ACCESS_UNCONFIRMED] = retry,
+                                                   [IV_ACCESS_VERDICTS] = NULL };
+  const struct iv_routes *routes = task->deps.routes (task->deps.context);
+  if (routes->workspaces)
+    count_access (verdict);
+  if (verdict == IV_ACCESS_GRANTED)
+    return TRUE;
+  iv_event (IV_LEVEL_INFO, "access.refused",
+            "job=%s verdict=%s status=%d workspace=%s version=%" G_GINT64_FORMAT
+            " config_age_ms=%" G_GINT64_FORMAT,
+            *id ? id : "-", iv_access_name (verdict), iv_access_status (verdict),
+            *caller->workspace ? iv_quote (caller->workspace) : "-", routes->version,
+            task->deps.config_age_ms (task->deps.context));
+  respond_reason (request, iv_access_status (verdict), iv_access_reason (verdict),
+                  headers[verdict]);
+  return FALSE;
+}
+
+static enum iv_access
+job_access (const struct iv_front_task *task, const struct iv_access_caller *caller,
+            const struct iv_job_entry *job)
+{
+  const struct iv_route *route
+      = iv_routes_find (task->deps.routes (task->deps.context), job->spec.host, job->spec.prefix);
+  return iv_access_to_job (caller, route && route->public_access, job->workspace);
+}
+
 static void
 respond_state (struct iv_http_request *request, const struct iv_job_entry *job)
 {
@@ -101,11 +160,15 @@
 }
 
 static struct store_wait *
-store_wait_new (struct iv_front_task *task, struct iv_http_request *request, const char *id)
+store_wait_new (struct iv_front_task *task, struct iv_http_request *request,
+                const struct iv_access_caller *caller, const char *id)
 {
   struct store_wait *store_wait = g_new0 (struct store_wait, 1);
   store_wait->task = task;
   store_wait->request = request;
+  store_wait->workspace = g_strdup (caller->workspace);
+  store_wait->caller = *caller;
+  store_wait->caller.workspace = store_wait->workspace;
   store_wait->since_ms = (gint64)uv_now (task->deps.loop);
   g_strlcpy (store_wait->id, id, sizeof store_wait->id);
   store_wait->deadline.fire = on_deadline;
@@ -120,6 +183,7 @@
   iv_deadline_unset (store_wait->task->deps.deadlines, &store_wait->deadline);
   if (store_wait->duplicates)
     g_ptr_array_free (store_wait->duplicates, TRUE);
+  g_free (store_wait->workspace);
   g_free (store_wait);
 }
 
@@ -187,8 +251,9 @@
 }
 
 static void
-store_job (struct iv_front_task *task, struct iv_http_request *request, const char *id,
-           const struct iv_route *route, ivj_job *job)
+store_job (struct iv_front_task *task, struct iv_http_request *request,
+           const struct iv_access_caller *caller, const char *id, const struct iv_route *route,
+           ivj_job *job)
 {
   struct store_wait *store_wait;
   GByteArray *bytes;
@@ -197,45 +262,61 @@
   job->host = strdup (route->host);
   job->prefix = strdup (route->prefix);
   job->accepted_ms = iv_clock_wall_ms ();
-  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, job, IV_RECORD_MAX_BYTES);
+  bytes = iv_job_encode_spec (job, caller->workspace);
   if (bytes == NULL)
     {
       reject (request, 413, id, "the job is too large");
       return;
     }
   record_queue (task, route);
-  store_wait = store_wait_new (task, request, id);
+  store_wait = store_wait_new (task, request, caller, id);
   g_hash_table_insert (task->pending_submissions, store_wait->id, store_wait);
   iv_recorder_add (task->deps.recorder, id, bytes->data, bytes->len, on_stored, store_wait);
   g_byte_array_free (bytes, TRUE);
 }
 
 static gboolean
-has_capacity (const struct iv_front_task *task, const char *id, const ivj_job *spec)
+has_capacity (const struct iv_front_task *task, const struct iv_access_caller *caller,
+              const char *id, const ivj_job *spec)
 {
-  struct iv_job_entry job = { .spec = *spec, .moved_to = -1 };
+  struct iv_job_entry job
+      = { .spec = *spec, .moved_to = -1, .workspace = (char *)caller->workspace };
   g_strlcpy (job.id, id, sizeof job.id);
   return task->deps.has_capacity (task->deps.context, &job);
 }
 
+/* Waits for the outcome of the first submission of the same job. */
+static void
+submit_again (struct iv_front_task *task, struct iv_http_request *request,
+              const struct iv_access_caller *caller, struct store_wait *first)
+{
+  enum iv_access access
+      = iv_access_to_job (caller, first->caller.public_access, first->caller.workspace);
+  if (!is_admitted (task, request, caller, first->id, access))
+    return;
+  if (first->duplicates == NULL)
+    first->duplicates = g_ptr_array_new ();
+  g_ptr_array_add (first->duplicates, store_wait_new (task, request, caller, first->id));
+}
+
 static void
-submit (struct iv_front_task *task, struct iv_http_request *request, const char *id,
-        const struct iv_route *route)
+submit (struct iv_front_task *task, struct iv_http_request *request,
+        const struct iv_access_caller *caller, const char *id, const struct iv_route *route)
 {
   struct store_wait *first = g_hash_table_lookup (task->pending_submissions, id);
+  const struct iv_job_entry *known = iv_job_table_find (task->deps.job_table, id);
   const char *body;
   gsize len;
   ivj_job job;
-  if (iv_job_table_find (task->deps.job_table, id))
+  if (known)
     {
-      respond (request, 200, "{}");
+      if (is_admitted (task, request, caller, id, job_access (task, caller, known)))
+        respond (request, 200, "{}");
       return;
     }
   if (first)
     {
-      if (first->duplicates == NULL)
-        first->duplicates = g_ptr_array_new ();
-      g_ptr_array_add (first->duplicates, store_wait_new (task, request, id));
+      submit_again (task, request, caller, first);
       return;
     }
   body = iv_http_body (request, &len);
@@ -243,15 +324,16 @@
     reject (request, 400, id, iv_last_message ());
   else if (store_is_unreachable (task))
     reject (request, 503, id, "the store is not available");
-  else if (!has_capacity (task, id, &job))
+  else if (!has_capacity (task, caller, id, &job))
     reject_with_retry (request, 503, id, "no room for more that lasts", RETRY_CAPACITY_S);
   else
-    store_job (task, request, id, route, &job);
+    store_job (task, request, caller, id, route, &job);
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
 }
 
 static void
-cancel (struct iv_front_task *task, struct iv_http_request *request, const struct iv_job_entry *job)
+cancel (struct iv_front_task *task, struct iv_http_request *request,
+        const struct iv_access_caller *caller, const struct iv_job_entry *job)
 {
   struct store_wait *store_wait;
   char key[IV_JOB_ID_LEN + 8];
@@ -265,17 +347,22 @@
       reject (request, 503, job->id, "the store is not available");
       return;
     }
-  store_wait = store_wait_new (task, request, job->id);
+  store_wait = store_wait_new (task, request, caller, job->id);
   store_wait->cancel = TRUE;
   g_snprintf (key, sizeof key, "%s" IV_KEY_CANCEL, job->id);
   iv_recorder_add (task->deps.recorder, key, "1", 1, on_stored, store_wait);
 }
 
 static void
-serve_known (struct iv_front_task *task, struct iv_http_request *request, struct iv_job_entry *job)
+serve_known (struct store_wait *store_wait, struct iv_job_entry *job)
 {
+  struct iv_front_task *task = store_wait->task;
+  struct iv_http_request *request = store_wait->request;
+  const struct iv_access_caller *caller = &store_wait->caller;
+  if (!is_admitted (task, request, caller, job->id, job_access (task, caller, job)))
+    return;
   if (strcmp (iv_http_method (request), "DELETE") == 0)
-    cancel (task, request, job);
+    cancel (task, request, caller, job);
   else
     respond_state (request, job);
 }
@@ -285,13 +372,10 @@
 {
   struct store_wait *store_wait = context;
   struct iv_job_entry *job = iv_job_table_find (store_wait->task->deps.job_table, store_wait->id);
-  if (store_wait->request)
-    {
-      if (job)
-        serve_known (store_wait->task, store_wait->request, job);
-      else
-        reject (store_wait->request, 410, store_wait->id, "no such job");
-    }
+  if (store_wait->request && job)
+    serve_known (store_wait, job);
+  else if (store_wait->request)
+    reject (store_wait->request, 410, store_wait->id, "no such job");
   store_wait_free (store_wait);
 }
 
@@ -306,7 +390,7 @@
 
 static void
 show_state (struct iv_front_task *task, struct iv_http_request *request,
-            const struct iv_job_entry *job)
+            const struct iv_access_caller *caller, const struct iv_job_entry *job)
 {
   struct store_wait *store_wait;
   if (!is_state_old (task, job))
@@ -314,7 +398,7 @@
       respond_state (request, job);
       return;
     }
-  store_wait = store_wait_new (task, request, job->id);
+  store_wait = store_wait_new (task, request, caller, job->id);
   store_wait->shows_state = TRUE;
   iv_deadline_set (task->deps.deadlines, &store_wait->deadline,
                    MIN (store_wait->deadline.at_ms, store_wait->since_ms + STATE_WAIT_MS));
@@ -323,15 +407,21 @@
 
 /* Only a read sent after the request can prove that the job does not exist. */
 static void
-look_up (struct iv_front_task *task, struct iv_http_request *request, const char *id)
+look_up (struct iv_front_task *task, struct iv_http_request *request,
+         const struct iv_access_caller *caller, const char *id)
 {
   struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, id);
   if (job == NULL)
-    iv_stream_barrier (task->deps.jobs, on_caught_up, store_wait_new (task, request, id));
-  else if (strcmp (iv_http_method (request), "GET") == 0)
-    show_state (task, request, job);
+    {
+      iv_stream_barrier (task->deps.jobs, on_caught_up, store_wait_new (task, request, caller, id));
+      return;
+    }
+  if (!is_admitted (task, request, caller, id, job_access (task, caller, job)))
+    return;
+  if (strcmp (iv_http_method (request), "GET") == 0)
+    show_state (task, request, caller, job);
   else
-    cancel (task, request, job);
+    cancel (task, request, caller, job);
 }
 
 static void
@@ -345,8 +435,8 @@
 }
 
 static void
-serve (struct iv_front_task *task, struct iv_http_request *request, const struct iv_route *route,
-       const char *rest)
+serve (struct iv_front_task *task, struct iv_http_request *request,
+       const struct iv_access_caller *caller, const struct iv_route *route, const char *rest)
 {
   const char *method = iv_http_method (request);
   gsize len = strcspn (rest, "?");
@@ -363,13 +453,26 @@
     }
   g_strlcpy (id, rest, sizeof id);
   if (strcmp (method, "POST") == 0)
-    submit (task, request, id, route);
+    submit (task, request, caller, id, route);
   else if (strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0)
-    look_up (task, request, id);
+    look_up (task, request, caller, id);
   else
     reject (request, 405, id, "method not allowed");
 }
 
+static void
+identify (const struct iv_front_task *task, const struct iv_http_request *request,
+          const struct iv_route *route, struct iv_access_caller *caller)
+{
+  const struct iv_access_request access
+      = { .workspaces = task->deps.routes (task->deps.context)->workspaces,
+          .public_access = route->public_access,
+          .authorization = iv_http_request_header (request, "authorization"),
+          .config_age_ms = task->deps.config_age_ms (task->deps.context),
+          .config_age_max_ms = task->deps.settings->fleet.revoke_ms };
+  iv_access_identify (&access, caller);
+}
+
 static void
 on_request (void *context, struct iv_http_request *request)
 {
@@ -377,6 +480,7 @@
   const struct iv_routes *routes = task->deps.routes (task->deps.context);
   const char *path = iv_http_path (request);
   const struct iv_route *route;
+  struct iv_access_caller caller;
   if (routes == NULL || !iv_stream_loaded (task->deps.jobs))
     {
       reject (request, 503, "", "starting");
@@ -384,9 +488,13 @@
     }
   route = iv_routes_match (routes, iv_http_host (request), path);
   if (route == NULL)
-    reject (request, 404, "", "no such queue");
-  else
-    serve (task, request, route, path + strlen (route->prefix));
+    {
+      reject (request, 404, "", "no such queue");
+      return;
+    }
+  identify (task, request, route, &caller);
+  if (is_admitted (task, request, &caller, "", iv_access_to_queue (&caller)))
+    serve (task, request, &caller, route, path + strlen (route->prefix));
 }
 
 static void
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -3,6 +3,9 @@
  * HTTP API for callers: submits, queries and cancels jobs, reports the number of pending jobs of a
  * queue, and answers readiness checks.
  *
+ * Where the configuration has workspaces, a request needs a key of one, unless its queue is public
+ * (access.h). A request is judged by the configuration in force when it arrives.
+ *
  * A submission is answered with 200 once the job's record is stored, with a rejection only if
  * nothing was stored, and with 504 if the outcome is unknown.
  */
@@ -28,6 +31,8 @@
   void *context;
   /** Configuration in force; NULL before it was read. */
   const struct iv_routes *(*routes) (void *context);
+  /** Age in ms of the last complete read of the topic that the configuration is in. */
+  gint64 (*config_age_ms) (void *context);
   /** Whether a cell has capacity for the long-running tasks of @a job, not accepted yet. */
   gboolean (*has_capacity) (void *context, const struct iv_job_entry *job);
 };
--- /dev/null
+++ b/daemon/tests/front_task_test.c
@@ -0,0 +1,412 @@
+/* Access to queues and jobs by keys, over HTTP to the task alone, with a stand-in for the store.
+   The test sets the configuration in force and its age. */
+#include "counter.h"
+#include "front_task.h"
+#include "http_client.h"
+#include "loopback_port.h"
+#include "names.h"
+#include "store_standin.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define TIMEOUT_MS 10000 /* of a test that does not progress; no test waits for it to pass */
+#define STORM 3000       /* calls */
+#define ACCEPT_BATCH_DELAY_MS 20
+#define JOB "{\"Steps\":[{\"Count\":1,\"Cpu\":1,\"MemMb\":1}]}"
+#define ROUTES                                                                                     \
+  "\"Routes\":[{\"Name\":\"q\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/q/\",\"Service\":\"s\"},"  \
+  "{\"Name\":\"open\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/open/\",\"Service\":\"s\","         \
+  "\"Public\":true}]"
+/* Every key of these tests begins so. */
+#define KEY_MARK "secret-"
+#define KEY_A KEY_MARK "alpha"
+#define KEY_B KEY_MARK "beta"
+
+static const char without_workspaces[] = "{\"Version\":1," ROUTES "}";
+static const char two_workspaces[]
+    = "{\"Version\":2," ROUTES ",\"Tenants\":[{\"Name\":\"alpha\",\"ApiKeys\":[\"" KEY_A
+      "\"]},{\"Name\":\"beta\",\"ApiKeys\":[\"" KEY_B "\"]}]}";
+static const char alpha_removed[]
+    = "{\"Version\":3," ROUTES ",\"Tenants\":[{\"Name\":\"alpha\",\"ApiKeys\":[]},"
+      "{\"Name\":\"beta\",\"ApiKeys\":[\"" KEY_B "\"]}]}";
+
+static uv_loop_t *loop;
+static struct iv_deadlines *deadlines;
+static struct store_standin *store;
+static struct iv_http_client *caller;
+static struct iv_job_table *job_table;
+static struct iv_routes *routes;
+static gint64 config_age;
+static char address[32];
+static GString *log_lines;
+
+struct result
+{
+  gboolean done;
+  int status;
+  char challenge[32];
+  char retry_after[32];
+  char body[256];
+};
+
+static GLogWriterOutput
+collect_line (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer context)
+{
+  for (gsize i = 0; i < count; i++)
+    if (strcmp (fields[i].key, "MESSAGE") == 0)
+      g_string_append_printf (log_lines, "%s\n", (const char *)fields[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+static void
+copy_header (const struct iv_http_response *response, const char *name, char value[32])
+{
+  const char *found = iv_http_response_header (response, name);
+  g_strlcpy (value, found ? found : "", 32);
+}
+
+static void
+on_response (void *context, const struct iv_http_response *response)
+{
+  struct result *result = context;
+  result->done = TRUE;
+  result->status = -1;
+  if (response->result != IV_HTTP_COMPLETE)
+    return;
+  result->status = response->status;
+  copy_header (response, "www-authenticate", result->challenge);
+  copy_header (response, "retry-after", result->retry_after);
+  g_snprintf (result->body, sizeof result->body, "%.*s", (int)response->body->len,
+              (const char *)response->body->data);
+}
+
+static void
+start_request (const char *method, const char *path, const char *key, struct result *result)
+{
+  char *authorization = key ? g_strconcat ("Bearer ", key, NULL) : NULL;
+  const struct iv_http_header headers[] = { { "authorization", authorization }, { NULL, NULL } };
+  const char *body = strcmp (method, "POST") == 0 ? JOB : NULL;
+  const struct iv_http_call call = { .method = method,
+                                     .path = path,
+                                     .headers = key ? headers : NULL,
+                                     .body = body,
+                                     .body_len = body ? strlen (body) : 0,
+                                     .deadline_ms = (gint64)uv_now (loop) + TIMEOUT_MS };
+  memset (result, 0, sizeof *result);
+  iv_http_call (caller, address, &call, on_response, result);
+  g_free (authorization);
+}
+
+static struct result
+send_request (const char *method, const char *path, const char *key)
+{
+  struct result result;
+  start_request (method, path, key, &result);
+  while (!result.done)
+    uv_run (loop, UV_RUN_ONCE);
+  return result;
+}
+
+static int
+status_of (const char *method, const char *path, const char *key)
+{
+  return send_request (method, path, key).status;
+}
+
+static void
+set_configuration (const char *text)
+{
+  iv_routes_free (routes);
+  routes = text ? iv_wire_parse_config ((const guint8 *)text, strlen (text)) : NULL;
+}
+
+static void
+apply_record (void *context, const char *key, const guint8 *value, gsize len)
+{
+  iv_job_table_apply (job_table, key, value, len);
+}
+
+static const struct iv_routes *
+get_routes (void *context)
+{
+  return routes;
+}
+
+static gint64
+get_config_age (void *context)
+{
+  return config_age;
+}
+
+static gboolean
+has_capacity (void *context, const struct iv_job_entry *job)
+{
+  return TRUE;
+}
+
+static struct iv_settings settings;
+
+static int
+set_up (void **state)
+{
+  static char ready[32];
+  const struct iv_stream_options options
+      = { .topic = IV_TOPIC_JOBS, .read_delay_ms = 5, .apply = apply_record };
+  struct iv_front_task_deps deps = { .settings = &settings,
+                                     .routes = get_routes,
+                                     .config_age_ms = get_config_age,
+                                     .has_capacity = has_capacity };
+  struct iv_store *client;
+  char store_address[32];
+  guint16 port = loopback_port_reserve ();
+  g_snprintf (store_address, sizeof store_address, "127.0.0.1:%u", port);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", loopback_port_reserve ());
+  g_snprintf (ready, sizeof ready, "127.0.0.1:%u", loopback_port_reserve ());
+  settings.fleet.jobs = address;
+  settings.fleet.ready = ready;
+  settings.limits
+      = (struct iv_limit_settings){ .requests = 100, .connections = 100, .read_timeout_ms = 5000 };
+  loop = deps.loop = uv_default_loop ();
+  deadlines = deps.deadlines = iv_deadlines_new (loop);
+  store = store_standin_new (loop, port);
+  caller = iv_http_client_new (loop, deadlines, 3600000, 1 << 20);
+  client = iv_store_new (iv_http_client_new (loop, deadlines, 3600000, 1 << 20), store_address);
+  job_table = deps.job_table = iv_job_table_new ();
+  deps.queues = iv_queues_new ();
+  deps.jobs = iv_stream_new (loop, deadlines, client, &options);
+  deps.recorder = iv_recorder_new (loop, deadlines, client, IV_TOPIC_JOBS, "h", 1,
+                                   ACCEPT_BATCH_DELAY_MS, 2500);
+  if (store == NULL || iv_front_task_new (&deps) == NULL)
+    return -1;
+  while (!iv_stream_loaded (deps.jobs))
+    uv_run (loop, UV_RUN_ONCE);
+  return 0;
+}
+
+/* Submits a job and returns it once its record was read back. */
+static const struct iv_job_entry *
+submit (const char *prefix, const char *id, const char *key)
+{
+  char *path = g_strconcat (prefix, id, NULL);
+  const struct iv_job_entry *job = NULL;
+  assert_int_equal (status_of ("POST", path, key), 200);
+  for (gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS; !job && (gint64)uv_now (loop) < end;)
+    {
+      uv_run (loop, UV_RUN_ONCE);
+      job = iv_job_table_find (job_table, id);
+    }
+  assert_non_null (job);
+  g_free (path);
+  return job;
+}
+
+/* Guards against a host that admits anybody before it knows the keys. */
+static void
+test_host_without_a_configuration (void **state)
+{
+  assert_int_equal (status_of ("GET", "/q/", NULL), 503);
+  assert_int_equal (status_of ("POST", "/q/00000000000000a0", KEY_A), 503);
+}
+
+/* Guards against keys that are asked for, or jobs that are stored in another form, where the
+   configuration has no workspaces. */
+static void
+test_no_workspaces_no_keys (void **state)
+{
+  set_configuration (without_workspaces);
+  assert_int_equal (status_of ("GET", "/q/", NULL), 200);
+  assert_string_equal (submit ("/q/", "00000000000000a1", KEY_A)->workspace, "");
+  assert_string_equal (submit ("/q/", "00000000000000a2", NULL)->workspace, "");
+}
+
+/* Guards against a request that tells anything of a queue or its jobs without a valid key. */
+static void
+test_nothing_is_told_without_a_key (void **state)
+{
+  static const char *const paths[]
+      = { "/q/", "/q/00000000000000a1", "/q/00000000000000ff", "/q/short" };
+  static const char *const methods[] = { "GET", "POST", "DELETE", "PUT" };
+  static const char *const keys[] = { NULL, "", KEY_MARK "none", KEY_A "x" };
+  set_configuration (two_workspaces);
+  for (guint p = 0; p < G_N_ELEMENTS (paths); p++)
+    for (guint m = 0; m < G_N_ELEMENTS (methods); m++)
+      for (guint k = 0; k < G_N_ELEMENTS (keys); k++)
+        {
+          struct result result = send_request (methods[m], paths[p], keys[k]);
+          assert_int_equal (result.status, 401);
+          assert_string_equal (result.challenge, "Bearer");
+          assert_null (strstr (result.body, KEY_MARK));
+        }
+  assert_int_equal (status_of ("GET", "/other/", NULL), 404);
+  assert_int_equal (status_of ("GET", "/q/", KEY_A), 200);
+  assert_int_equal (status_of ("GET", "/q/00000000000000ff", KEY_A), 410);
+  assert_int_equal (status_of ("PUT", "/q/00000000000000a1", KEY_A), 405);
+  assert_int_equal (status_of ("GET", "/q/short", KEY_A), 404);
+}
+
+/* Guards against a job that is stored without its workspace, or is open to another one. */
+static void
+test_job_belongs_to_its_workspace (void **state)
+{
+  static const char path[] = "/q/00000000000000b1";
+  assert_string_equal (submit ("/q/", "00000000000000b1", KEY_A)->workspace, "alpha");
+  assert_int_equal (status_of ("GET", path, KEY_A), 200);
+  assert_int_equal (status_of ("POST", path, KEY_A), 200);
+  assert_int_equal (status_of ("GET", path, KEY_B), 403);
+  assert_int_equal (status_of ("POST", path, KEY_B), 403);
+  assert_int_equal (status_of ("DELETE", path, KEY_B), 403);
+  assert_false (iv_job_table_find (job_table, "00000000000000b1")->cancel);
+  assert_int_equal (status_of ("DELETE", path, KEY_A), 200);
+  assert_int_equal (status_of ("GET", "/q/00000000000000a1", KEY_A), 200);
+  assert_int_equal (status_of ("GET", "/q/00000000000000a1", KEY_B), 200);
+}
+
+/* Guards against a job that a second workspace submits, and is told to be accepted, while the store
+   has not answered the first. */
+static void
+test_same_id_at_the_same_time (void **state)
+{
+  static const char path[] = "/q/00000000000000b2";
+  struct result results[2];
+  start_request ("POST", path, KEY_A, &results[0]);
+  start_request ("POST", path, KEY_B, &results[1]);
+  while (!results[0].done || !results[1].done)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (MIN (results[0].status, results[1].status), 200);
+  assert_int_equal (MAX (results[0].status, results[1].status), 403);
+  assert_int_equal (status_of ("GET", path, KEY_A), results[0].status);
+  assert_int_equal (status_of ("GET", path, KEY_B), results[1].status);
+}
+
+/* Guards against keys that are asked for on a public queue, jobs there that are counted for the
+   wrong workspace, and jobs of other queues that can be reached through its path. */
+static void
+test_public_queue (void **state)
+{
+  const struct iv_job_entry *job;
+  assert_int_equal (status_of ("GET", "/open/", NULL), 200);
+  assert_string_equal (submit ("/open/", "00000000000000c1", NULL)->workspace, "");
+  assert_string_equal (submit ("/open/", "00000000000000c2", KEY_MARK "none")->workspace, "");
+  assert_string_equal (submit ("/open/", "00000000000000c3", KEY_A)->workspace, "alpha");
+  assert_int_equal (status_of ("GET", "/open/00000000000000c3", NULL), 200);
+  assert_int_equal (status_of ("DELETE", "/open/00000000000000c3", NULL), 200);
+  job = submit ("/q/", "00000000000000c4", KEY_A);
+  assert_int_equal (status_of ("GET", "/open/00000000000000c4", NULL), 401);
+  assert_int_equal (status_of ("DELETE", "/open/00000000000000c4", NULL), 401);
+  assert_int_equal (status_of ("DELETE", "/open/00000000000000c4", KEY_B), 403);
+  assert_int_equal (status_of ("POST", "/open/00000000000000c4", NULL), 401);
+  assert_false (job->cancel);
+  assert_int_equal (status_of ("GET", "/open/00000000000000c4", KEY_A), 200);
+}
+
+/* Guards against a request that was admitted and is refused by a later version, and against a later
+   one that is admitted by the older version. */
+static void
+test_key_removed_while_a_request_waits (void **state)
+{
+  static const char path[] = "/q/00000000000000ff";
+  struct result result;
+  gint64 answered_by
+      = (gint64)uv_now (loop) + 100; /* a lookup in a store that answers takes few ms */
+  store->refuse = TRUE;
+  start_request ("GET", path, KEY_A, &result);
+  while (!result.done && (gint64)uv_now (loop) < answered_by)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_false (result.done);
+  set_configuration (alpha_removed);
+  store->refuse = FALSE;
+  while (!result.done)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (result.status, 410);
+  assert_int_equal (status_of ("GET", path, KEY_A), 401);
+}
+
+/* Guards against removed keys of which any is admitted in a storm of calls, and against calls of
+   another workspace that are refused in it. Each round holds one call of the latter. */
+static void
+test_storm_of_removed_keys (void **state)
+{
+  struct result results[20];
+  set_configuration (alpha_removed);
+  for (guint call = 0; call < STORM; call += G_N_ELEMENTS (results))
+    {
+      guint valid = (call / G_N_ELEMENTS (results)) % G_N_ELEMENTS (results);
+      for (guint i = 0; i < G_N_ELEMENTS (results); i++)
+        start_request (i % 2 ? "GET" : "POST", "/q/00000000000000b1", i == valid ? KEY_B : KEY_A,
+                       &results[i]);
+      for (guint i = 0; i < G_N_ELEMENTS (results); i++)
+        {
+          while (!results[i].done)
+            uv_run (loop, UV_RUN_ONCE);
+          assert_int_equal (results[i].status, i == valid ? 403 : 401);
+        }
+      assert_int_equal (status_of ("GET", "/q/", KEY_B), 200);
+    }
+}
+
+/* Guards against a host cut off from the store that refuses without the setting, or admits with it,
+   and against refusals of what needs no key. */
+static void
+test_host_cut_off_from_the_store (void **state)
+{
+  struct result result;
+  set_configuration (two_workspaces);
+  store->refuse = TRUE;
+  config_age = 3600000;
+  assert_int_equal (status_of ("GET", "/q/", KEY_A), 200);
+  assert_int_equal (status_of ("GET", "/q/", NULL), 401);
+  settings.fleet.revoke_ms = 5000;
+  result = send_request ("GET", "/q/", KEY_A);
+  assert_int_equal (result.status, 503);
+  assert_string_not_equal (result.retry_after, "");
+  assert_int_equal (status_of ("POST", "/q/00000000000000d1", KEY_A), 503);
+  assert_int_equal (status_of ("GET", "/q/", NULL), 503);
+  assert_int_equal (status_of ("GET", "/open/", NULL), 200);
+  config_age = 5000;
+  assert_int_equal (status_of ("GET", "/q/", KEY_A), 200);
+  config_age = 3600000;
+  set_configuration (without_workspaces);
+  assert_int_equal (status_of ("GET", "/q/", NULL), 200);
+  store->refuse = FALSE;
+  settings.fleet.revoke_ms = 0;
+}
+
+/* Guards against keys in log lines and metrics. */
+static void
+test_no_key_is_logged (void **state)
+{
+  char *metrics = iv_counters_text ();
+  assert_non_null (strstr (log_lines->str, "event=access.refused"));
+  assert_non_null (strstr (log_lines->str, "verdict=key_unknown"));
+  assert_non_null (strstr (metrics, "ibisvane_access_total{verdict=\"other_workspace\"}"));
+  assert_null (strstr (log_lines->str, KEY_MARK));
+  assert_null (strstr (metrics, KEY_MARK));
+  g_free (metrics);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_host_without_a_configuration),
+    cmocka_unit_test (test_no_workspaces_no_keys),
+    cmocka_unit_test (test_nothing_is_told_without_a_key),
+    cmocka_unit_test (test_job_belongs_to_its_workspace),
+    cmocka_unit_test (test_same_id_at_the_same_time),
+    cmocka_unit_test (test_public_queue),
+    cmocka_unit_test (test_key_removed_while_a_request_waits),
+    cmocka_unit_test (test_storm_of_removed_keys),
+    cmocka_unit_test (test_host_cut_off_from_the_store),
+    cmocka_unit_test (test_no_key_is_logged),
+  };
+  log_lines = g_string_new (NULL);
+  g_log_set_writer_func (collect_line, NULL, NULL);
+  return cmocka_run_group_tests (tests, set_up, NULL);
+}
