--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -206,8 +206,9 @@
 {
   struct store_wait *store_wait = context;
   iv_event (IV_LEVEL_INFO, store_wait->cancel ? "job.cancel_stored" : "job.accepted",
-            "job=%s outcome=%s offset=%" G_GINT64_FORMAT, store_wait->id, iv_status_name (status),
-            end);
+            "job=%s outcome=%s offset=%" G_GINT64_FORMAT "%s%s", store_wait->id,
+            iv_status_name (status), end, *store_wait->workspace ? " workspace=" : "",
+            *store_wait->workspace ? iv_quote (store_wait->workspace) : "");
   iv_histogram_add (iv_histogram_get ("ibisvane_store_request_ms",
                                       "Time from a request to the store's response, in ms."),
                     (gint64)uv_now (store_wait->task->deps.loop) - store_wait->since_ms);
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -55,6 +55,7 @@
     = "{\"Service\":\"s\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"a\",\"State\":\"ready\","
       "\"Capacity\":{\"Cpu\":8000,\"MemMb\":9000},\"Labels\":[\"k\",\"r1\"],\"born\":1}";
 static guint16 worker_port;
+static const char *request_key; /* of the requests to send; NULL: none */
 
 struct result
 {
@@ -81,12 +82,16 @@
 send_request (const char *method, const char *address, const char *path, const char *body)
 {
   struct result result = { 0 };
+  char *authorization = g_strdup_printf ("Bearer %s", request_key);
+  const struct iv_http_header headers[] = { { "authorization", authorization }, { NULL, NULL } };
   struct iv_http_call call = { .method = method,
                                .path = path,
+                               .headers = request_key ? headers : NULL,
                                .body = body,
                                .body_len = body ? strlen (body) : 0,
                                .deadline_ms = (gint64)uv_now (loop) + TIMEOUT_MS };
   iv_http_call (caller, address, &call, on_response, &result);
+  g_free (authorization);
   while (!result.done)
     uv_run (loop, UV_RUN_ONCE);
   return result;
@@ -397,6 +402,113 @@
   g_free (with_queue);
 }
 
+/* Puts a configuration of @a version in which the workspace "alpha" has @a keys, a list in JSON,
+   and "beta" the key "key-b". */
+static void
+put_keys (gint64 version, const char *keys)
+{
+  char *text = g_strdup_printf (
+      "{\"Version\":%" G_GINT64_FORMAT ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"127.0.0.1\","
+      "\"PathPrefix\":\"/q/\",\"Service\":\"s\",\"Attempts\":2}],"
+      "\"Services\":[{\"Name\":\"s\"}],\"Tenants\":[{\"Name\":\"alpha\",\"ApiKeys\":%s},"
+      "{\"Name\":\"beta\",\"ApiKeys\":[\"key-b\"]}]}",
+      version, keys);
+  store_standin_put (store, "keyed.op", "config", text);
+  g_free (text);
+}
+
+static int
+status_with (const char *key)
+{
+  int status;
+  request_key = key;
+  status = send_request ("GET", callers_address, "/q/", NULL).status;
+  request_key = NULL;
+  return status;
+}
+
+static void
+poll_until_key_has (const char *key, int status)
+{
+  gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
+  while (status_with (key) != status && (gint64)uv_now (loop) < end)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (status_with (key), status);
+}
+
+/* Number of configurations that the host has ignored, by its metrics. */
+static gint64
+ignored_configurations (void)
+{
+  static const char name[] = "ibisvane_events_total{event=\"config.ignored\"} ";
+  struct result result = send_request ("GET", metrics_address, "/metrics", NULL);
+  const char *line = strstr (result.body, name);
+  return line ? strtol (line + strlen (name), NULL, 10) : 0;
+}
+
+/* Guards against keys that a version removed and that work again because an older version is read,
+   and against keys that a version added and that do not work. */
+static void
+test_keys_follow_versions (void **state)
+{
+  gint64 ignored;
+  gint64 end;
+  put_keys (4, "[\"key-a1\"]");
+  poll_until_key_has (NULL, 401);
+  poll_until_key_has ("key-a1", 200);
+  assert_int_equal (status_with ("key-a2"), 401);
+  put_keys (5, "[\"key-a2\"]");
+  poll_until_key_has ("key-a2", 200);
+  assert_int_equal (status_with ("key-a1"), 401);
+  ignored = ignored_configurations ();
+  put_keys (4, "[\"key-a1\"]");
+  end = (gint64)uv_now (loop) + TIMEOUT_MS;
+  while (ignored_configurations () == ignored && status_with ("key-a1") == 401
+         && (gint64)uv_now (loop) < end)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_true (ignored_configurations () > ignored);
+  assert_int_equal (status_with ("key-a1"), 401);
+  assert_int_equal (status_with ("key-a2"), 200);
+  put_keys (6, "[\"key-a1\",\"key-a2\"]");
+  poll_until_key_has ("key-a1", 200);
+}
+
+/* Guards against a job of a workspace whose record the owner cannot read, and a workspace that is
+   forgotten with the texts of an ended job. */
+static void
+test_job_of_a_workspace_runs_to_its_end (void **state)
+{
+  static const char path[] = "/q/00000000000000ac";
+  worker->run_ms = 30;
+  request_key = "key-a1";
+  assert_int_equal (send_request ("POST", callers_address, path,
+                                  "{\"Steps\":[{\"Count\":2,\"Cpu\":1,\"MemMb\":1}]}")
+                        .status,
+                    200);
+  poll_until (callers_address, path, "completed", 200);
+  request_key = "key-b";
+  assert_int_equal (send_request ("GET", callers_address, path, NULL).status, 403);
+  request_key = NULL;
+}
+
+/* Guards against a host that goes on admitting keys after the time that the settings set, or does
+   not admit them again once the store is back. Without the setting it goes on. */
+static void
+test_revocation_while_cut_off (void **state)
+{
+  gint64 end = (gint64)uv_now (loop) + 2000;
+  store->refuse = TRUE;
+  while ((gint64)uv_now (loop) < end)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (status_with ("key-a1"), 200);
+  settings.fleet.revoke_ms = 1500;
+  assert_int_equal (status_with ("key-a1"), 503);
+  assert_int_equal (status_with (NULL), 503);
+  store->refuse = FALSE;
+  poll_until_key_has ("key-a1", 200);
+  settings.fleet.revoke_ms = 0;
+}
+
 int
 main (void)
 {
@@ -411,6 +523,9 @@
     cmocka_unit_test (test_metrics_are_served),
     cmocka_unit_test (test_state_recorded_by_another_owner_is_told_at_once),
     cmocka_unit_test (test_jobs_of_a_removed_queue_are_run_on),
+    cmocka_unit_test (test_keys_follow_versions),
+    cmocka_unit_test (test_job_of_a_workspace_runs_to_its_end),
+    cmocka_unit_test (test_revocation_while_cut_off),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/daemon/tests/front_task_test.c
+++ b/daemon/tests/front_task_test.c
@@ -274,7 +274,7 @@
 test_same_id_at_the_same_time (void **state)
 {
   static const char path[] = "/q/00000000000000b2";
-  struct result results[2];
+  static struct result results[2]; /* outlives a failed assertion, as the calls do */
   start_request ("POST", path, KEY_A, &results[0]);
   start_request ("POST", path, KEY_B, &results[1]);
   while (!results[0].done || !results[1].done)
@@ -312,7 +312,7 @@
 test_key_removed_while_a_request_waits (void **state)
 {
   static const char path[] = "/q/00000000000000ff";
-  struct result result;
+  static struct result result; /* outlives a failed assertion, as the call does */
   gint64 answered_by
       = (gint64)uv_now (loop) + 100; /* a lookup in a store that answers takes few ms */
   store->refuse = TRUE;
@@ -333,7 +333,7 @@
 static void
 test_storm_of_removed_keys (void **state)
 {
-  struct result results[20];
+  static struct result results[20]; /* outlives a failed assertion, as the calls do */
   set_configuration (alpha_removed);
   for (guint call = 0; call < STORM; call += G_N_ELEMENTS (results))
     {
--- a/settings/tests/settings_test.c
+++ b/settings/tests/settings_test.c
@@ -83,11 +83,40 @@
       "twice\ns:9:8: lease_max must not be below lease\ns:9:8: hold must not be below hold_cut\n");
 }
 
+/* Guards against requests that are refused where the settings do not ask for it. */
+static void
+test_revocation_is_off_by_default (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    gint64 revoke_ms;
+  } rows[] = {
+    { HEAD PLATFORM MEMBERS "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6'}\n", 0 },
+    { HEAD PLATFORM MEMBERS "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6', revoke: 0ms}\n",
+      0 },
+    { HEAD PLATFORM MEMBERS "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6', revoke: 5000ms}\n",
+      5000 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct iv_settings settings;
+      struct iv_findings *findings = iv_findings_new ("s");
+      struct iv_document *document
+          = iv_settings_read (rows[i].text, strlen (rows[i].text), &settings, findings);
+      assert_int_equal (iv_findings_count (findings), 0);
+      assert_int_equal (settings.fleet.revoke_ms, rows[i].revoke_ms);
+      iv_document_free (document);
+      iv_findings_free (findings);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_defaults), cmocka_unit_test (test_findings),
-          cmocka_unit_test (test_fleet_limits) };
+          cmocka_unit_test (test_fleet_limits),
+          cmocka_unit_test (test_revocation_is_off_by_default) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
