--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -82,9 +82,8 @@
 count_access (enum iv_access verdict)
 {
   char *label = g_strdup_printf ("verdict=\"%s\"", iv_access_name (verdict));
-  iv_counter_add (iv_counter_get ("ibisvane_access_total", label,
-                                  "Decisions on the keys of requests, by verdict."),
-                  1);
+  iv_counter_add (
+      iv_counter_get ("ibisvane_access_total", label, "Requests that need a key, by verdict."), 1);
   g_free (label);
 }
 
@@ -437,22 +436,20 @@
 
 static void
 serve (struct iv_front_task *task, struct iv_http_request *request,
-       const struct iv_access_caller *caller, const struct iv_route *route, const char *rest)
+       const struct iv_access_caller *caller, const struct iv_route *route, const char *rest,
+       const char *id)
 {
   const char *method = iv_http_method (request);
-  gsize len = strcspn (rest, "?");
-  char id[IV_JOB_ID_LEN + 1] = "";
-  if (len == 0 && strcmp (method, "GET") == 0)
+  if (strcspn (rest, "?") == 0 && strcmp (method, "GET") == 0)
     {
       serve_queue (task, request, route);
       return;
     }
-  if (!iv_job_id_valid (rest, len))
+  if (*id == '\0')
     {
       reject (request, 404, "", "no such job or queue");
       return;
     }
-  g_strlcpy (id, rest, sizeof id);
   if (strcmp (method, "POST") == 0)
     submit (task, request, caller, id, route);
   else if (strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0)
@@ -474,6 +471,18 @@
   iv_access_identify (&access, caller);
 }
 
+/* Admits callers to the queue, and counts those who showed a key for that. */
+static gboolean
+admit (const struct iv_front_task *task, struct iv_http_request *request,
+       const struct iv_access_caller *caller, const char *id)
+{
+  if (!is_admitted (task, request, caller, id, iv_access_to_queue (caller)))
+    return FALSE;
+  if (!caller->public_access && *caller->workspace)
+    count_access (IV_ACCESS_GRANTED);
+  return TRUE;
+}
+
 static void
 on_request (void *context, struct iv_http_request *request)
 {
@@ -481,7 +490,9 @@
   const struct iv_routes *routes = task->deps.routes (task->deps.context);
   const char *path = iv_http_path (request);
   const struct iv_route *route;
+  const char *rest;
   struct iv_access_caller caller;
+  char id[IV_JOB_ID_LEN + 1] = "";
   if (routes == NULL || !iv_stream_loaded (task->deps.jobs))
     {
       reject (request, 503, "", "starting");
@@ -493,9 +504,12 @@
       reject (request, 404, "", "no such queue");
       return;
     }
+  rest = path + strlen (route->prefix);
+  if (iv_job_id_valid (rest, strcspn (rest, "?")))
+    g_strlcpy (id, rest, sizeof id);
   identify (task, request, route, &caller);
-  if (is_admitted (task, request, &caller, "", iv_access_to_queue (&caller)))
-    serve (task, request, &caller, route, path + strlen (route->prefix));
+  if (admit (task, request, &caller, id))
+    serve (task, request, &caller, route, rest, id);
 }
 
 static void
--- a/daemon/tests/front_task_test.c
+++ b/daemon/tests/front_task_test.c
@@ -385,6 +385,9 @@
   char *metrics = iv_counters_text ();
   assert_non_null (strstr (log_lines->str, "event=access.refused"));
   assert_non_null (strstr (log_lines->str, "verdict=key_unknown"));
+  assert_non_null (strstr (log_lines->str, "event=job.accepted job=00000000000000b1 "));
+  assert_non_null (strstr (log_lines->str, " workspace=alpha\n"));
+  assert_non_null (strstr (metrics, "ibisvane_access_total{verdict=\"granted\"}"));
   assert_non_null (strstr (metrics, "ibisvane_access_total{verdict=\"other_workspace\"}"));
   assert_null (strstr (log_lines->str, KEY_MARK));
   assert_null (strstr (metrics, KEY_MARK));
