Accept a job for a cell that has room for it

Change: the host that accepts a job chooses its cell by the load records and stores it in the record of the job.

--- a/daemon/cell_loads.c
+++ b/daemon/cell_loads.c
@@ -8,6 +8,10 @@
    may be moving there at the same time. */
 #define MOVE_CAPACITY_FACTOR 3
 
+/* A job that is accepted stays in the cell of its id when that has this share of the mean free
+   capacity: cells differ by chance, and a choice costs bytes that every host reads. */
+#define STAY_MIN_PERCENT 75
+
 /* Free capacity of a cell, and the time when its record was applied. */
 struct cell_load
 {
@@ -224,6 +228,72 @@
   return (gint)(best - loads->cells);
 }
 
+/* What each cell has free for a job with needs @a needs, 0 where it cannot hold the job. Returns
+   the sum. */
+static gint64
+measure_cells (const struct iv_cell_loads *loads, const struct iv_move_needs *needs, gint64 now_ms,
+               gint64 free_milli[IV_CELLS_MAX], guint *recent)
+{
+  gint64 sum = 0;
+  *recent = 0;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    {
+      const struct cell_load *load = &loads->cells[i];
+      free_milli[i] = 0;
+      if (!is_recent (load, now_ms))
+        continue;
+      (*recent)++;
+      if (is_accepted (job_fit (load, needs), needs->kind))
+        free_milli[i] = MAX (0, capacity_of_kind (load, needs->kind));
+      sum += free_milli[i];
+    }
+  return sum;
+}
+
+static guint
+draw_cell (const gint64 free_milli[IV_CELLS_MAX], gint64 sum, double draw)
+{
+  gint64 left = (gint64)(draw * (double)sum);
+  guint cell = 0;
+  for (guint i = 0; i < IV_CELLS_MAX; i++)
+    {
+      if (free_milli[i] == 0)
+        continue;
+      cell = i;
+      if (left < free_milli[i])
+        break;
+      left -= free_milli[i];
+    }
+  return cell;
+}
+
+static guint
+freest_cell (const gint64 free_milli[IV_CELLS_MAX])
+{
+  guint best = 0;
+  for (guint i = 1; i < IV_CELLS_MAX; i++)
+    if (free_milli[i] > free_milli[best])
+      best = i;
+  return best;
+}
+
+guint
+iv_cell_loads_choose (struct iv_cell_loads *loads, guint cell, const struct iv_move_needs *needs,
+                      double draw, gint64 now_ms)
+{
+  gint64 free_milli[IV_CELLS_MAX];
+  guint recent;
+  gint64 sum = measure_cells (loads, needs, now_ms, free_milli, &recent);
+  guint chosen = cell;
+  if (!is_recent (&loads->cells[cell], now_ms) || recent < 2)
+    return cell;
+  if (sum > 0 && free_milli[cell] * recent * 100 < sum * STAY_MIN_PERCENT)
+    chosen = needs->kind == IV_CAPACITY_LONG_RUNNING ? freest_cell (free_milli)
+                                                     : draw_cell (free_milli, sum, draw);
+  reserve_capacity (&loads->cells[chosen], needs->cpu_milli);
+  return chosen;
+}
+
 gboolean
 iv_cell_loads_admit (struct iv_cell_loads *loads, gint64 cpu_milli, gint64 now_ms)
 {
--- a/daemon/cell_loads.h
+++ b/daemon/cell_loads.h
@@ -31,6 +31,14 @@
 gint iv_cell_loads_find_target (struct iv_cell_loads *loads, guint cell, gint only,
                                 const struct iv_move_needs *needs, gint64 now_ms);
 
+/** Choose a cell for a job that is about to be accepted and would go to @a cell. Stays there while
+ *  the cell has about as much free capacity as the others. Otherwise the cell is drawn in
+ * proportion to free capacity, so that hosts that decide alone on the same records spread their
+ * jobs; a long-running job goes to the cell with the most, as few come at the same time. @a draw
+ * decides, from 0 to below 1. Returns @a cell when no recent load tells otherwise. */
+guint iv_cell_loads_choose (struct iv_cell_loads *loads, guint cell,
+                            const struct iv_move_needs *needs, double draw, gint64 now_ms);
+
 /** Whether to accept a long-running job that needs @a cpu_milli: any cell has the capacity, as the
  *  job is moved there, or no recent load is known. */
 gboolean iv_cell_loads_admit (struct iv_cell_loads *loads, gint64 cpu_milli, gint64 now_ms);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -186,6 +186,15 @@
   g_free (key);
 }
 
+static gint
+choose_cell (const struct iv_front_task *task, const char *id, const ivj_job *spec,
+             const char *service)
+{
+  struct iv_job_entry job = { .spec = *spec, .moved_to = -1, .chosen_cell = -1 };
+  g_strlcpy (job.id, id, sizeof job.id);
+  return task->deps.choose_cell (task->deps.context, &job, service);
+}
+
 static void
 store_job (struct iv_front_task *task, struct iv_http_request *request, const char *id,
            const struct iv_route *route, ivj_job *job)
@@ -197,7 +206,7 @@
   job->host = strdup (route->host);
   job->prefix = strdup (route->prefix);
   job->accepted_ms = iv_clock_wall_ms ();
-  bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, job, IV_RECORD_MAX_BYTES);
+  bytes = iv_job_encode_spec (job, "", choose_cell (task, id, job, route->service));
   if (bytes == NULL)
     {
       reject (request, 413, id, "the job is too large");
@@ -213,7 +222,7 @@
 static gboolean
 has_capacity (const struct iv_front_task *task, const char *id, const ivj_job *spec)
 {
-  struct iv_job_entry job = { .spec = *spec, .moved_to = -1 };
+  struct iv_job_entry job = { .spec = *spec, .moved_to = -1, .chosen_cell = -1 };
   g_strlcpy (job.id, id, sizeof job.id);
   return task->deps.has_capacity (task->deps.context, &job);
 }
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -88,6 +88,7 @@
 struct ivj_job_record {
 	ivj_job job;
 	char *workspace;
+	int cell;
 };
 typedef struct ivj_job_record ivj_job_record;
 
--- a/jobs/layout.c
+++ b/jobs/layout.c
@@ -206,6 +206,20 @@
   return -1;
 }
 
+gboolean
+iv_layout_names_rack (const struct iv_layout *layout, const ivj_job *spec)
+{
+  return cell_by_rack (layout, spec) >= 0;
+}
+
+double
+iv_layout_job_draw (const char *id)
+{
+  const char *last = id + strlen (id) - MIN (strlen (id), HASHED_ID_DIGITS);
+  return (double)strtoul (last, NULL, 16)
+         / (double)(G_GUINT64_CONSTANT (1) << 4 * HASHED_ID_DIGITS);
+}
+
 guint
 iv_layout_job_cell (const struct iv_layout *layout, const struct iv_job_entry *job)
 {
@@ -213,5 +227,8 @@
   if (job->moved_to >= 0)
     return (guint)job->moved_to % layout->cells;
   cell = cell_by_rack (layout, &job->spec);
-  return cell >= 0 ? (guint)cell : cell_by_job_id (layout, job->id);
+  if (cell >= 0)
+    return (guint)cell;
+  return job->chosen_cell >= 0 ? (guint)job->chosen_cell % layout->cells
+                               : cell_by_job_id (layout, job->id);
 }
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -334,7 +334,7 @@
 gboolean
 iv_owner_balance_long_running (struct iv_owner *owner, struct iv_job_exec *exec)
 {
-  return exec->job->moved_to < 0 && is_unstarted (owner, exec)
+  return exec->job->moved_to < 0 && exec->job->chosen_cell < 0 && is_unstarted (owner, exec)
          && try_move (owner, exec, iv_job_long_running_milli (&exec->job->spec),
                       IV_CAPACITY_LONG_RUNNING);
 }
