Apply parts of caps in the owner of a cell

Every host applies the records cap/CELL/DIGEST; the owner of a cell answers workspace_limit from them, queues changed records with its others and dispatches again when a limit has risen. A stand-in for iv_owner_workspace_demand() is marked in cell_task.c.

--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -6,6 +6,7 @@
 #ifndef IV_CELL_PRIVATE_H
 #define IV_CELL_PRIVATE_H
 
+#include "cap_task.h"
 #include "cell_task.h"
 #include "recorder.h"
 #include "worker_calls.h"
@@ -34,6 +35,7 @@
   gint64 suspended_since_ms;  /* the owner may not act since then; 0: it may */
   gint64 claim_not_before_ms; /* set when the cell is released to another host */
   gint64 vacant_since_ms;     /* when this host found the cell without an owner; 0: it has not */
+  struct iv_cap_task *caps;
   struct iv_worker_calls *calls;
   struct iv_recorder *recorder;
   struct iv_stream *workers;
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -55,6 +55,7 @@
   task->owner = NULL;
   iv_worker_calls_close (task->calls);
   iv_recorder_close (task->recorder);
+  iv_cap_task_end (task->caps);
   iv_stream_close (task->workers);
   task->calls = NULL;
   task->recorder = NULL;
@@ -197,6 +198,63 @@
   return task->deps.count_elsewhere (task->deps.context, task->cell, need);
 }
 
+/* Stand-in until iv_owner_workspace_demand() of jobs/ is merged; that merge removes this block. */
+GArray *iv_owner_workspace_demand (struct iv_owner *owner);
+__attribute__ ((weak)) GArray *
+iv_owner_workspace_demand (struct iv_owner *owner)
+{
+  return NULL;
+}
+/* End of the stand-in. */
+
+static void
+get_workspace_limit (void *context, const char *workspace, struct iv_workspace_limit *limit)
+{
+  struct iv_cell_task *task = context;
+  iv_cap_task_limit (task->caps, workspace, limit, iv_cell_task_now_ms (task));
+}
+
+static double
+get_workspace_weight (void *context, const char *workspace)
+{
+  struct iv_cell_task *task = context;
+  const struct iv_routes *routes = task->deps.routes (task->deps.context);
+  const struct iv_workspace *found
+      = routes && routes->workspaces ? iv_workspaces_find (routes->workspaces, workspace) : NULL;
+  return found ? found->weight : 0;
+}
+
+static void
+configure_caps (struct iv_cell_task *task)
+{
+  const struct iv_routes *routes = task->deps.routes (task->deps.context);
+  if (routes)
+    iv_cap_task_configure (task->caps, routes->workspaces, routes->version,
+                           iv_cell_task_now_ms (task));
+}
+
+/* The demand is that of this moment: what a cell gives, it neither runs nor starts any more. */
+static void
+step_caps (struct iv_cell_task *task)
+{
+  GArray *demand;
+  if (!iv_cap_task_is_due (task->caps, iv_cell_task_now_ms (task)))
+    return;
+  demand = iv_owner_workspace_demand (task->owner);
+  if (iv_cap_task_step (task->caps, demand, task->recorder, iv_cell_task_now_ms (task)))
+    {
+      iv_owner_config_changed (task->owner);
+      schedule_step (task, 0);
+    }
+  g_clear_pointer (&demand, g_array_unref);
+}
+
+static void
+on_caps_fenced (void *context)
+{
+  iv_cell_task_end_ownership (context, "fenced_in_stream");
+}
+
 /* A job being moved to another cell. It stays in this cell when the move could not be stored. */
 struct job_move
 {
@@ -504,6 +562,7 @@
       iv_cell_task_end_ownership (task, "fenced_by_worker");
       return;
     }
+  step_caps (task);
   record_roster (task);
   record_model (task);
   record_load (task);
@@ -584,7 +643,9 @@
                                       .find_delegate = find_delegate,
                                       .record_delegation = record_delegation,
                                       .count_elsewhere = count_elsewhere,
-                                      .move_job = move_job };
+                                      .move_job = move_job,
+                                      .workspace_limit = get_workspace_limit,
+                                      .workspace_weight = get_workspace_weight };
   struct iv_worker_reply_handlers callbacks
       = { task, on_start_replied, on_stop_replied, on_poll_replied, on_advice_replied };
   struct iv_stream_options options = { .topic = IV_TOPIC_WORKERS,
@@ -598,6 +659,11 @@
   task->owned_since_ms = iv_cell_task_now_ms (task);
   iv_event (IV_LEVEL_INFO, "owner.gained", "cell=%u term=%" G_GINT64_FORMAT, task->cell,
             task->term);
+  /* What an owner that is not heard from has running ends at the latest when it has stopped for
+     lack of a confirmation and its last leases have ended, which are counted with a margin. */
+  iv_cap_task_begin (task->caps, iv_layout_cells (layout),
+                     settings->owner_timeout_ms + settings->lease_max_ms * 102 / 100);
+  configure_caps (task);
   task->owner = iv_owner_new (task->deps.job_table, task->term, &limits, &effects,
                               iv_cell_task_now_ms (task), iv_clock_wall_ms ());
   if (task->roster)
@@ -634,6 +700,7 @@
   task->cell = cell;
   task->writer = g_strdup_printf ("owner%u", cell);
   task->current_owner = g_strdup ("");
+  task->caps = iv_cap_task_new (deps->caps, cell, on_caps_fenced, task);
   task->step.fire = on_step;
   task->step.context = task;
   return task;
@@ -647,7 +714,10 @@
   if (job)
     iv_owner_job_changed (task->owner, job, iv_cell_task_now_ms (task));
   else
-    iv_owner_config_changed (task->owner);
+    {
+      configure_caps (task);
+      iv_owner_config_changed (task->owner);
+    }
   schedule_step (task, 0);
 }
 
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -8,6 +8,7 @@
 #define IV_CELL_TASK_H
 
 #include "call_limits.h"
+#include "cap_parts.h"
 #include "layout.h"
 #include "membership.h"
 #include "queues.h"
@@ -27,6 +28,7 @@
   struct iv_job_table *job_table;
   struct iv_queues *queues; /**< as recorded */
   struct iv_membership *membership;
+  const struct iv_cap_rows *caps; /**< records of the parts of caps */
   const struct iv_fleet_settings *settings;
   void *context;
   const struct iv_layout *(*layout) (void *context); /**< NULL while it is unknown */
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -1,5 +1,6 @@
 #include "fleet_app.h"
 
+#include "cap_task.h"
 #include "cell_loads.h"
 #include "cell_task.h"
 #include "clock.h"
@@ -51,6 +52,7 @@
   struct iv_call_limits *worker_limits; /* of the calls to workers */
   struct iv_cell_task *cells[IV_CELLS_MAX];
   struct iv_cell_loads *loads;
+  struct iv_cap_rows *caps; /* records of the parts of caps */
   gboolean listing_members; /* a request for the members, for rebalance_cells(), is pending */
   gint64 next_rebalance_ms;
   struct iv_front_task *front;
@@ -212,6 +214,8 @@
         iv_layout_task_apply (app->layout, (const char *)value, len);
       return IV_OK;
     }
+  if (g_str_has_prefix (key, IV_KEY_CAP))
+    return iv_cap_task_apply (app->caps, key, value, len, now_ms (app));
   if (g_str_has_prefix (key, IV_KEY_QUEUE))
     return value ? iv_queues_apply (app->queues, value, len) : IV_OK;
   return iv_job_table_apply (app->job_table, key, value, len);
@@ -385,6 +389,7 @@
                                     .job_table = app->job_table,
                                     .queues = app->queues,
                                     .membership = app->membership,
+                                    .caps = app->caps,
                                     .settings = &app->settings->fleet,
                                     .context = app,
                                     .layout = get_layout,
@@ -531,6 +536,7 @@
   app->job_table = iv_job_table_new ();
   app->queues = iv_queues_new ();
   app->loads = iv_cell_loads_new ();
+  app->caps = iv_cap_rows_new ();
   app->domains_out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client = iv_http_client_new (loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 16 * MIB);
   app->store = iv_store_new (client, settings->platform.address);
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -36,6 +36,7 @@
                                */
 #define IV_KEY_OWNER "owner/" /**< + cell: claim of its owner */
 #define IV_KEY_LOAD "load/"   /**< + cell: its free capacity */
+#define IV_KEY_CAP "cap/"     /**< + cell / digest of a workspace: the cell's part of its cap */
 #define IV_RECORD_MAX_BYTES 200000 /**< of one record; below the limit of the platform */
 
 /** A job as known from the records. */
