--- a/daemon/cell_private.h
+++ b/daemon/cell_private.h
@@ -36,6 +36,7 @@
   gint64 claim_not_before_ms; /* set when the cell is released to another host */
   gint64 vacant_since_ms;     /* when this host found the cell without an owner; 0: it has not */
   struct iv_cap_task *caps;
+  gboolean caps_outdated; /* at the last step, the configuration was read too long ago */
   struct iv_worker_calls *calls;
   struct iv_recorder *recorder;
   struct iv_stream *workers;
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -207,11 +207,22 @@
 }
 /* End of the stand-in. */
 
+/* Other cells may apply a lower cap by now, and run up to it. */
+static gboolean
+is_config_outdated (const struct iv_cell_task *task)
+{
+  return iv_stream_age_ms (task->deps.operators) >= task->deps.settings->contact_ms;
+}
+
 static void
 get_workspace_limit (void *context, const char *workspace, struct iv_workspace_limit *limit)
 {
   struct iv_cell_task *task = context;
   iv_cap_task_limit (task->caps, workspace, limit, iv_cell_task_now_ms (task));
+  if (!limit->limited || !is_config_outdated (task))
+    return;
+  limit->max = (struct iv_resources){ 0 };
+  limit->may_exceed_by_one = FALSE;
 }
 
 static double
@@ -237,11 +248,14 @@
 static void
 step_caps (struct iv_cell_task *task)
 {
+  gboolean was_outdated = task->caps_outdated;
   GArray *demand;
   if (!iv_cap_task_is_due (task->caps, iv_cell_task_now_ms (task)))
     return;
+  task->caps_outdated = is_config_outdated (task);
   demand = iv_owner_workspace_demand (task->owner);
-  if (iv_cap_task_step (task->caps, demand, task->recorder, iv_cell_task_now_ms (task)))
+  if (iv_cap_task_step (task->caps, demand, task->recorder, iv_cell_task_now_ms (task))
+      || (was_outdated && !task->caps_outdated))
     {
       iv_owner_config_changed (task->owner);
       schedule_step (task, 0);
