--- a/daemon/cap_task.c
+++ b/daemon/cap_task.c
@@ -39,8 +39,8 @@
   gboolean has_workspaces;
   gint64 next_step_ms;
   gint64 last_step_ms;
-  guint64 applied;      /* records at the last step */
-  GHashTable *accounts; /* by name of the workspace, to struct account */
+  guint64 applied;              /* records at the last step */
+  GHashTable *accounts;         /* by name of the workspace, to struct account */
   struct iv_recorder *recorder; /* during a step */
   gint64 now_ms;                /* of the step */
 };
@@ -136,8 +136,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct account *account = value;
-      iv_gauge_set (account->fraction,
-                    iv_counter_value (account->fraction) - account->shown_ppm);
+      iv_gauge_set (account->fraction, iv_counter_value (account->fraction) - account->shown_ppm);
     }
   g_hash_table_remove_all (task->accounts);
 }
@@ -215,14 +214,14 @@
           const struct iv_cap_change *change)
 {
   const struct iv_cap_limit *limit = &change->limit;
-  if (task->now_ms < account->next_log_ms
-      || memcmp (&account->logged, limit, sizeof *limit) == 0)
+  if (task->now_ms < account->next_log_ms || memcmp (&account->logged, limit, sizeof *limit) == 0)
     return;
   account->next_log_ms = task->now_ms + LOG_INTERVAL_MS;
   account->logged = *limit;
   iv_event (IV_LEVEL_INFO, "cap.part",
-            "cell=%u workspace=%s fraction_ppm=%" G_GINT64_FORMAT " limited=%d cpu=%" G_GINT64_FORMAT
-            " mem=%" G_GINT64_FORMAT " accelerators=%" G_GINT64_FORMAT " exceed=%d",
+            "cell=%u workspace=%s fraction_ppm=%" G_GINT64_FORMAT
+            " limited=%d cpu=%" G_GINT64_FORMAT " mem=%" G_GINT64_FORMAT
+            " accelerators=%" G_GINT64_FORMAT " exceed=%d",
             task->cell, iv_quote (change->workspace), change->fraction * PPM / IV_CAP_WHOLE,
             limit->limited, limit->max.cpu_milli, limit->max.mem_mb, limit->max.accelerators,
             limit->may_exceed_by_one);
@@ -293,8 +292,7 @@
   gint64 ppm = change->fraction * PPM / IV_CAP_WHOLE;
   char *digest = iv_cap_digest (change->workspace);
   char *key = g_strdup_printf (IV_KEY_CAP "%u/%s", task->cell, digest);
-  iv_gauge_set (account->fraction,
-                iv_counter_value (account->fraction) + ppm - account->shown_ppm);
+  iv_gauge_set (account->fraction, iv_counter_value (account->fraction) + ppm - account->shown_ppm);
   account->shown_ppm = ppm;
   log_part (task, account, change);
   note_given (task, change);
--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -4,16 +4,16 @@
 #include <xxhash.h>
 
 #define FORMAT_VERSION 1
-#define WRITE_INTERVAL_MS 100  /* between two records of a workspace */
-#define BEAT_INTERVAL_MS 700   /* a request that lasts is repeated this often... */
+#define WRITE_INTERVAL_MS 100   /* between two records of a workspace */
+#define BEAT_INTERVAL_MS 700    /* a request that lasts is repeated this often... */
 #define REQUEST_MAX_AGE_MS 2000 /* ...and one that was not repeated has expired */
 /* A cell that cannot start anything in its share takes a ticket after this time: a request for
    what others do not use is answered within it in calm times. */
 #define STALL_MS 300
-#define NEED_STEP (IV_CAP_WHOLE / 64)    /* requests are rounded up, so that few are recorded */
-#define GRANT_MIN (IV_CAP_WHOLE / 1024)  /* smaller grants are made only to complete a request */
-#define CHANGES_PER_STEP_MAX 64          /* a record has about 150 bytes */
-#define AMOUNT_MAX (G_MAXINT64 / 64)     /* sums over all cells do not overflow */
+#define NEED_STEP (IV_CAP_WHOLE / 64)   /* requests are rounded up, so that few are recorded */
+#define GRANT_MIN (IV_CAP_WHOLE / 1024) /* smaller grants are made only to complete a request */
+#define CHANGES_PER_STEP_MAX 64         /* a record has about 150 bytes */
+#define AMOUNT_MAX (G_MAXINT64 / 64)    /* sums over all cells do not overflow */
 #define RESOURCES 3
 
 /* Records of one workspace. */
@@ -113,8 +113,8 @@
   gint64 share = 0;
   for (guint i = 0; i < RESOURCES; i++)
     if (get_amount (cap, i) > 0)
-      share = MAX (share, scale (MAX (get_amount (amounts, i), 0), IV_CAP_WHOLE,
-                                 get_amount (cap, i), TRUE));
+      share = MAX (
+          share, scale (MAX (get_amount (amounts, i), 0), IV_CAP_WHOLE, get_amount (cap, i), TRUE));
   return MIN (share, IV_CAP_WHOLE);
 }
 
@@ -433,9 +433,10 @@
   struct iv_resources amounts = { -1, -1, -1 };
   for (guint i = 0; i < RESOURCES; i++)
     if (get_amount (&part->cap, i) >= 0)
-      *amount_at (&amounts, i) = MAX (
-          scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, FALSE) - get_amount (excess, i),
-          0);
+      *amount_at (&amounts, i)
+          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, FALSE)
+                     - get_amount (excess, i),
+                 0);
   return amounts;
 }
 
@@ -647,8 +648,7 @@
   for (guint i = 0; i < parts->cells; i++)
     {
       gint64 ticket = view->need[i] > 0 ? ticket_of (parts, part, i) : 0;
-      if (ticket > 0
-          && (view->winner < 0 || ticket < ticket_of (parts, part, (guint)view->winner)))
+      if (ticket > 0 && (view->winner < 0 || ticket < ticket_of (parts, part, (guint)view->winner)))
         view->winner = (gint)i;
     }
 }
@@ -682,7 +682,8 @@
                gint64 now_ms)
 {
   gint64 fraction = view->fraction[parts->cell];
-  gboolean stalled = !is_zero (&part->wanted) && 2 * view->share <= fraction
+  gboolean stalled = !is_zero (&part->wanted) && fraction < IV_CAP_WHOLE
+                     && 2 * view->share <= fraction
                      && fraction + GRANT_MIN >= view->target[parts->cell];
   if (part->ticket > 0 && !is_zero (&part->wanted) && view->share <= part->stalled_share)
     return;
@@ -775,8 +776,7 @@
 {
   static const struct iv_resources none = { 0 };
   struct iv_resources over = { 0 };
-  struct iv_resources own
-      = amounts_of (part, fraction_of (parts, part, parts->cell), &none);
+  struct iv_resources own = amounts_of (part, fraction_of (parts, part, parts->cell), &none);
   for (guint i = 0; i < RESOURCES; i++)
     if (get_amount (&own, i) >= 0)
       *amount_at (&over, i)
--- a/workspace/cap_parts.h
+++ b/workspace/cap_parts.h
@@ -13,9 +13,10 @@
 
 #include "workspaces.h"
 
-#define IV_CAP_CELLS_MAX 24       /**< cells */
-#define IV_CAP_NAMES_MAX 8192     /**< workspaces whose records are kept */
-#define IV_CAP_WHOLE G_GINT64_CONSTANT (1000000000) /**< a fraction of one; fractions are integers of this unit */
+#define IV_CAP_CELLS_MAX 24   /**< cells */
+#define IV_CAP_NAMES_MAX 8192 /**< workspaces whose records are kept */
+#define IV_CAP_WHOLE                                                                               \
+  G_GINT64_CONSTANT (1000000000) /**< a fraction of one; fractions are integers of this unit */
 
 /** Record of a cell and a workspace. */
 struct iv_cap_row
