Account for what workspaces use in a cell, hold tasks at the limit, and dispatch by share

An owner knew nothing of workspaces, so a cap could not hold. It now counts the runs of each workspace, stopping and unconfirmed ones among them, and what a previous owner may have started; a task starts only when the limit of its workspace admits it. Tasks that wait for the limit alone lack no worker. Within a class and priority, workspaces above their share come after the others, the least served by its weight first.

--- a/jobs/delegate.c
+++ b/jobs/delegate.c
@@ -56,18 +56,20 @@
          && iv_reserve_find (owner->fleet, task, now_ms) == NULL;
 }
 
-/* Delegates the waiting tasks of the stage for which other cells have pieces. Only the cell of its
-   job counts the crashes of a task, so one of the step must have run before. */
+/* Delegates the waiting tasks of the stage for which other cells have pieces, but for as many as
+   the limit of their workspace holds. Only the cell of its job counts the crashes of a task, so one
+   of the step must have run before. */
 static void
 delegate_tasks (struct iv_owner *owner, const struct iv_job_exec *exec, struct iv_stage *stage,
                 guint occurrence, gint64 now_ms)
 {
   const ivj_job *spec = &exec->job->spec;
   struct iv_task_name name = { .occurrence = occurrence, .step = stage->number };
+  guint lacking = iv_stage_lacking (stage);
   struct iv_queue_policy policy;
   if (!owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &policy))
     return;
-  for (name.index = 0; name.index < stage->step->count; name.index++)
+  for (name.index = 0; name.index < stage->step->count && lacking > 0; name.index++)
     {
       const struct iv_job_task *task = &stage->tasks[name.index];
       gint cell;
@@ -78,13 +80,14 @@
       if (cell < 0)
         return;
       record (owner, exec, stage, &name, cell, now_ms);
+      lacking--;
     }
 }
 
 static gboolean
 has_waited (const struct iv_stage *stage, gint64 wait_ms, gint64 now_ms)
 {
-  return iv_stage_waiting (stage) > 0 && stage->waiting_since_ms > 0
+  return iv_stage_lacking (stage) > 0 && stage->waiting_since_ms > 0
          && now_ms >= stage->waiting_since_ms + wait_ms;
 }
 
@@ -149,6 +152,8 @@
     {
       if (exec)
         iv_owner_withdraw (owner, exec, now_ms);
+      else if (iv_delegations_any (job->delegations, owner->effects.cell))
+        iv_owner_keep_ended_usage (owner, job);
       return;
     }
   if (exec == NULL)
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -9,6 +9,7 @@
 #include "reserve.h"
 #include "sharing.h"
 
+#include <math.h>
 #include <string.h>
 
 #define DISPATCH_INTERVAL_MS 250 /* tail latencies and waiting times change without an event */
@@ -28,6 +29,7 @@
   struct iv_queue_policy policy;
   struct iv_queue_item item;
   enum iv_queue_class class;
+  struct iv_workspace_account *account; /* of its workspace; NULL: it has none */
 };
 
 static gint
@@ -72,6 +74,16 @@
          && iv_crash_may_start (owner, exec, iv_stage_suspect (stage, task));
 }
 
+static void
+count_start (const struct iv_owner *owner, struct iv_workspace_account *account,
+             const ivj_step *step)
+{
+  gboolean above = iv_owner_usage_level (owner, account) > iv_owner_fair_level (owner);
+  iv_workspace_account_count (account, above ? IV_WORKSPACE_STARTED_ABOVE : IV_WORKSPACE_STARTED,
+                              1);
+  iv_workspace_account_use (account, step, 1);
+}
+
 static void
 start_task (struct iv_owner *owner, const struct iv_placement_query *query,
             struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
@@ -98,6 +110,8 @@
   stage->placed++;
   exec->placed++;
   owner->start_credit -= owner->start_credit > 0;
+  if (query->account)
+    count_start (owner, query->account, stage->step);
   if (!exec->started)
     {
       exec->started = TRUE;
@@ -150,23 +164,63 @@
   return NULL;
 }
 
+/* Number of tasks of @a stage from @a first on that may start. */
+static guint
+count_startable (const struct iv_owner *owner, const struct iv_job_exec *exec,
+                 const struct iv_stage *stage, guint first, gint64 now_ms)
+{
+  guint count = 0;
+  for (guint i = first; i < stage->step->count; i++)
+    count += may_start (owner, exec, stage, &stage->tasks[i], now_ms);
+  return count;
+}
+
+/* The limit of the workspace holds the tasks from @a first on. Those before lack a worker if they
+   wait as @a lacking says; else all that wait are held. */
+static void
+hold_tasks (const struct iv_owner *owner, const struct iv_job_exec *exec,
+            struct iv_workspace_account *account, struct iv_stage *stage, guint first,
+            guint lacking, gint64 now_ms)
+{
+  guint startable = count_startable (owner, exec, stage, first, now_ms);
+  iv_owner_hold_tasks (account, stage, lacking > 0 ? startable : iv_stage_waiting (stage),
+                       startable);
+}
+
+/* Whether the workspace has got ahead of others in this dispatch. */
+static gboolean
+is_turn_over (struct iv_owner *owner, const struct iv_placement_query *query)
+{
+  if (query->account == NULL || iv_owner_usage_level (owner, query->account) <= owner->turn_end)
+    return FALSE;
+  owner->turn_ended = TRUE;
+  return TRUE;
+}
+
 static void
 dispatch_tasks (struct iv_owner *owner, const struct iv_placement_query *query,
                 struct iv_job_exec *exec, struct iv_stage *stage, struct iv_task_name *name,
                 gint64 now_ms)
 {
   struct search search = { FALSE, IV_RESERVE_DONE };
+  guint lacking = 0; /* tasks that found no worker; the limit has to admit them too */
   for (guint i = 0; i < stage->step->count; i++)
     {
       struct iv_job_task *task = &stage->tasks[i];
       struct iv_fleet_worker *worker;
-      if (owner->start_credit == 0)
-        return;
       if (!may_start (owner, exec, stage, task, now_ms))
         continue;
+      if (query->account && !iv_workspace_account_admits (query->account, stage->step, lacking + 1))
+        {
+          hold_tasks (owner, exec, query->account, stage, i, lacking, now_ms);
+          break;
+        }
+      if (owner->start_credit == 0 || is_turn_over (owner, query))
+        return;
       worker
           = query->reserves ? find_or_reserve (query, task, &search) : iv_place_task (query, task);
       /* A task under suspicion may lack a worker that others can use. */
+      lacking += worker == NULL;
       if (worker == NULL && (task->crashes > 0 || query->reserves))
         continue;
       if (worker == NULL || (query->starved && exec->placed > 0))
@@ -259,11 +313,16 @@
 {
   struct iv_job_task *suspect = iv_stage_suspect (stage, stage->tasks);
   struct iv_fleet_worker **chosen;
-  if (owner->start_credit == 0)
+  guint count = stage->step->count;
+  if (count_startable (owner, exec, stage, 0, query->now_ms) < count)
     return;
-  for (guint i = 0; i < stage->step->count; i++)
-    if (!may_start (owner, exec, stage, &stage->tasks[i], query->now_ms))
+  if (query->account && !iv_workspace_account_admits (query->account, stage->step, count))
+    {
+      iv_owner_hold_tasks (query->account, stage, count, count);
       return;
+    }
+  if (owner->start_credit == 0 || is_turn_over (owner, query))
+    return;
   chosen = g_new0 (struct iv_fleet_worker *, stage->step->count);
   if (!place_gang (query, stage, name, chosen))
     {
@@ -286,7 +345,7 @@
 note_waiting (struct iv_stage *stage, const struct iv_placement_query *query)
 {
   gint64 now_ms = query->now_ms;
-  if (iv_stage_waiting (stage) == 0)
+  if (iv_stage_lacking (stage) == 0)
     {
       stage->waiting_since_ms = 0;
       return;
@@ -302,6 +361,13 @@
   iv_place_log_waiting (query, now_ms - stage->waiting_since_ms);
 }
 
+/* A job that only its limit kept from running has not lacked a worker since. */
+static gboolean
+was_held_lately (const struct iv_job_exec *exec, gint64 now_ms)
+{
+  return exec->last_held_ms > 0 && now_ms <= exec->last_held_ms + STARVED_AFTER_MS;
+}
+
 static struct iv_placement_query
 make_query (struct iv_owner *owner, const struct iv_job_exec *exec,
             const struct iv_queue_policy *policy, struct iv_stage *stage, guint occurrence,
@@ -312,12 +378,14 @@
           .job = exec->job,
           .stage = stage,
           .occurrence = occurrence,
+          .account = iv_owner_account (owner, exec->job),
           .service = policy->service,
           .workload = iv_sharing_workload (owner, stage->step),
           .advised = policy->advised,
           .checks_capacity = policy->checks_capacity,
           .reserves = reserves_workers (stage->step),
-          .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
+          .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS
+                     && !was_held_lately (exec, now_ms),
           .now_ms = now_ms };
   if (stage->step->flags & IVJ_RACK_LOCAL)
     query.rack = iv_rack_choose (&query);
@@ -347,11 +415,27 @@
   struct iv_placement_query query
       = make_query (owner, exec, &candidate->policy, stage, occurrence->number, now_ms);
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
+  stage->held = 0;
   if (stage->step->flags & IVJ_GANG)
     dispatch_gang (owner, &query, exec, stage, &name);
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
-  note_waiting (stage, &query);
+  iv_owner_note_held (exec, stage, now_ms);
+  /* A task whose turn comes later in this dispatch does not lack a worker yet. */
+  if (!owner->turn_ended)
+    note_waiting (stage, &query);
+}
+
+/* No start may be sent now: tells only which tasks the limit of the workspace holds. */
+static void
+count_held (const struct iv_owner *owner, const struct candidate *candidate, struct iv_stage *stage,
+            gint64 now_ms)
+{
+  guint together = stage->step->flags & IVJ_GANG ? stage->step->count : 1;
+  stage->held = 0;
+  if (!iv_workspace_account_admits (candidate->account, stage->step, together))
+    hold_tasks (owner, candidate->exec, candidate->account, stage, 0, 0, now_ms);
+  iv_owner_note_held (candidate->exec, stage, now_ms);
 }
 
 static void
@@ -366,21 +450,135 @@
           struct iv_stage *stage = &occurrence->stages[j];
           if (iv_stage_waiting (stage) == 0)
             stage->waiting_since_ms = 0;
-          else if (iv_stage_ready (occurrence, stage))
+          else if (!iv_stage_ready (occurrence, stage))
+            continue;
+          else if (owner->start_credit > 0 || candidate->account == NULL)
             dispatch_stage (owner, candidate, occurrence, stage, now_ms);
+          else
+            count_held (owner, candidate, stage, now_ms);
         }
     }
 }
 
-void
-iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms)
+/* Whether the workspace of the job, which has an account and a weight, uses more than its share, or
+   had sent more jobs than it is owed when this one came. */
+static gboolean
+is_above_share (struct iv_owner *owner, const struct candidate *candidate)
 {
-  GArray *candidates;
-  if (!owner->needs_dispatch && now_ms < owner->next_dispatch_ms)
-    return;
-  owner->needs_dispatch = FALSE;
-  owner->start_credit = owner->effects.start_credit (owner->effects.context);
-  candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  struct iv_job_exec *exec = candidate->exec;
+  const struct iv_workspace_account *account = candidate->account;
+  if (account == NULL || !(account->weight > 0))
+    return FALSE;
+  if (!exec->rate_judged)
+    exec->beyond_rate = iv_job_table_is_beyond_rate (owner->jobs, exec->job, account->weight);
+  exec->rate_judged = TRUE;
+  return exec->beyond_rate || iv_owner_usage_level (owner, account) > iv_owner_fair_level (owner);
+}
+
+/* Starts tasks of the job until its workspace is above @a turn_end. FALSE when that kept tasks from
+   starting. */
+static gboolean
+dispatch_turn (struct iv_owner *owner, const struct candidate *candidate, double turn_end,
+               gint64 now_ms)
+{
+  owner->turn_end = turn_end;
+  owner->turn_ended = FALSE;
+  if (owner->start_credit > 0 || candidate->account)
+    dispatch_job (owner, candidate, now_ms);
+  return !owner->turn_ended;
+}
+
+/* A workspace with jobs that wait for their turn. */
+struct turn
+{
+  struct iv_workspace_account *account;
+  double level;
+};
+
+static gint
+compare_turns (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct turn *x = a;
+  const struct turn *y = b;
+  return (x->level > y->level) - (x->level < y->level);
+}
+
+static void
+add_turn (struct iv_owner *owner, GSequence *turns, struct iv_workspace_account *account)
+{
+  struct turn *turn = g_new (struct turn, 1);
+  *turn = (struct turn){ account, iv_owner_usage_level (owner, account) };
+  g_sequence_insert_sorted (turns, turn, compare_turns, NULL);
+}
+
+static void
+wait_for_turn (struct iv_owner *owner, GSequence *turns, struct candidate *candidate)
+{
+  GQueue *jobs = &candidate->account->turns;
+  g_queue_push_tail (jobs, candidate);
+  if (jobs->length == 1)
+    add_turn (owner, turns, candidate->account);
+}
+
+/* The workspace that uses least of the cell by its weight comes first, and starts tasks until the
+   next one uses less. */
+static void
+take_turns (struct iv_owner *owner, GSequence *turns, gint64 now_ms)
+{
+  while (!g_sequence_is_empty (turns))
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (turns);
+      struct iv_workspace_account *account = ((struct turn *)g_sequence_get (first))->account;
+      struct candidate *candidate = g_queue_pop_head (&account->turns);
+      const struct turn *next;
+      g_sequence_remove (first);
+      first = g_sequence_get_begin_iter (turns);
+      next = g_sequence_iter_is_end (first) ? NULL : g_sequence_get (first);
+      if (!dispatch_turn (owner, candidate, next ? next->level : INFINITY, now_ms))
+        g_queue_push_head (&account->turns, candidate);
+      if (account->turns.length > 0)
+        add_turn (owner, turns, account);
+    }
+}
+
+/* Offers capacity to jobs of one class and priority: in their order while their workspaces are
+   within their shares, then in turns of the workspaces. */
+static void
+dispatch_group (struct iv_owner *owner, struct candidate *group, guint len, gint64 now_ms)
+{
+  GSequence *turns = g_sequence_new (g_free);
+  for (guint i = 0; i < len; i++)
+    if (is_above_share (owner, &group[i])
+        || !dispatch_turn (owner, &group[i], iv_owner_fair_level (owner), now_ms))
+      wait_for_turn (owner, turns, &group[i]);
+  take_turns (owner, turns, now_ms);
+  g_sequence_free (turns);
+}
+
+static gboolean
+is_same_group (const struct candidate *a, const struct candidate *b)
+{
+  return a->class == b->class && a->item.priority == b->item.priority;
+}
+
+static void
+dispatch_by_share (struct iv_owner *owner, GArray *candidates, gint64 now_ms)
+{
+  guint end;
+  for (guint begin = 0; begin < candidates->len; begin = end)
+    {
+      struct candidate *group = &g_array_index (candidates, struct candidate, begin);
+      for (end = begin + 1; end < candidates->len; end++)
+        if (!is_same_group (group, &g_array_index (candidates, struct candidate, end)))
+          break;
+      dispatch_group (owner, group, end - begin, now_ms);
+    }
+}
+
+static GArray *
+list_candidates (struct iv_owner *owner, gint64 now_ms)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   for (guint i = 0; i < owner->execs->len; i++)
     {
       struct candidate candidate = { .exec = g_ptr_array_index (owner->execs, i) };
@@ -392,14 +590,31 @@
       if (candidate.exec->placed > 0)
         candidate.exec->last_placed_ms = now_ms;
       set_order (&candidate, now_ms);
+      candidate.account = iv_owner_account (owner, candidate.exec->job);
       g_array_append_val (candidates, candidate);
     }
   g_array_sort (candidates, compare_candidates);
-  for (guint i = 0; i < candidates->len && owner->start_credit > 0; i++)
+  return candidates;
+}
+
+void
+iv_owner_dispatch (struct iv_owner *owner, gint64 now_ms)
+{
+  GArray *candidates;
+  if (!owner->needs_dispatch && now_ms < owner->next_dispatch_ms)
+    return;
+  owner->needs_dispatch = FALSE;
+  owner->start_credit = owner->effects.start_credit (owner->effects.context);
+  iv_owner_begin_accounts (owner);
+  candidates = list_candidates (owner, now_ms);
+  if (owner->usage)
+    dispatch_by_share (owner, candidates, now_ms);
+  for (guint i = 0; owner->usage == NULL && i < candidates->len && owner->start_credit > 0; i++)
     dispatch_job (owner, &g_array_index (candidates, struct candidate, i), now_ms);
   g_array_free (candidates, TRUE);
   owner->next_dispatch_ms
       = now_ms + (owner->start_credit > 0 ? DISPATCH_INTERVAL_MS : DISPATCH_HELD_MS);
   /* Tasks that are down come before those that will be. */
   iv_owner_move_from_draining (owner, now_ms);
+  iv_owner_end_accounts (owner, now_ms);
 }
--- a/jobs/drain.c
+++ b/jobs/drain.c
@@ -76,6 +76,9 @@
       || GPOINTER_TO_UINT (g_hash_table_lookup (in_transit, run->step)) >= transit_max (run->step)
       || !iv_dispatch_query (owner, exec, stage, run->name.occurrence, now_ms, &query))
     return;
+  /* Over the limit of its workspace it could not start again. */
+  if (query.account && !iv_workspace_account_admits_again (query.account, run->step))
+    return;
   target = iv_place_reserved (&query, task);
   if (target == NULL)
     target = iv_place_task (&query, task);
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -395,6 +395,13 @@
   return stage->step->count - stage->done - stage->placed - stage->away;
 }
 
+guint
+iv_stage_lacking (const struct iv_stage *stage)
+{
+  guint waiting = iv_stage_waiting (stage);
+  return waiting - MIN (waiting, stage->held);
+}
+
 gboolean
 iv_stage_ready (const struct iv_occurrence *occurrence, const struct iv_stage *stage)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -54,6 +54,9 @@
   guint done;                /**< tasks in state IV_JOB_TASK_DONE */
   guint placed;              /**< tasks in state IV_JOB_TASK_PLACED */
   guint away;                /**< tasks in state IV_JOB_TASK_AWAY */
+  guint held;                /**< waiting tasks that only the limit of their workspace holds, as of
+                                the newest dispatch... */
+  gint64 held_since_ms;      /**< ...and since when there are any; 0: there are none */
   gboolean runs_known;       /**< no previous owner can have started any of its tasks */
   gint64 waiting_since_ms;   /**< since when some of its tasks could not be placed; 0: none is */
   gint64 next_wait_log_ms;   /**< when to log next that they wait */
@@ -103,6 +106,9 @@
   gint evacuate_to;         /**< cell to move to once none of its tasks runs; -1: none */
   gint64 first_seen_ms;     /**< when this owner first read the job */
   gint64 last_placed_ms;    /**< latest time at which a task of it was placed */
+  gint64 last_held_ms;      /**< the same for tasks that the limit of their workspace held */
+  gboolean rate_judged;     /**< `beyond_rate` is known */
+  gboolean beyond_rate;     /**< its workspace sent more jobs than it is owed when it came */
   gint64 objective_ms;      /**< end of the time in which the job earns its full value */
   gint64 zero_utility_ms;   /**< from then on the job earns nothing */
 };
@@ -156,6 +162,9 @@
 /** Number of tasks of @a stage that wait for its step to become ready, or for a worker. */
 guint iv_stage_waiting (const struct iv_stage *stage);
 
+/** The same without those that the limit of their workspace holds: they lack no worker. */
+guint iv_stage_lacking (const struct iv_stage *stage);
+
 /** Whether every step that @a stage depends on is done. */
 gboolean iv_stage_ready (const struct iv_occurrence *occurrence, const struct iv_stage *stage);
 
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -1,5 +1,6 @@
 #include "job_table.h"
 
+#include "fair_shares.h"
 #include "status.h"
 
 #include <stdlib.h>
@@ -15,7 +16,8 @@
 
 struct iv_job_table
 {
-  GHashTable *jobs; /* from id to struct iv_job_entry */
+  GHashTable *jobs;     /* from id to struct iv_job_entry */
+  GHashTable *arrivals; /* from workspace to struct iv_arrivals: its jobs */
   iv_job_table_fn changed;
   void *context;
 };
@@ -53,6 +55,8 @@
 {
   struct iv_job_table *table = g_new0 (struct iv_job_table, 1);
   table->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  table->arrivals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)iv_arrivals_free);
   return table;
 }
 
@@ -61,6 +65,7 @@
 {
   if (table == NULL)
     return;
+  g_hash_table_destroy (table->arrivals);
   g_hash_table_destroy (table->jobs);
   g_free (table);
 }
@@ -144,8 +149,41 @@
   return iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job_record, value, len, record);
 }
 
+static void
+add_arrival (struct iv_job_table *table, const struct iv_job_entry *job)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  if (*job->workspace == '\0')
+    return;
+  if (arrivals == NULL)
+    {
+      arrivals = iv_arrivals_new ();
+      g_hash_table_insert (table->arrivals, g_strdup (job->workspace), arrivals);
+    }
+  iv_arrivals_add (arrivals, job->spec.accepted_ms, job->id);
+}
+
+static void
+remove_arrival (struct iv_job_table *table, const struct iv_job_entry *job)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  if (arrivals == NULL)
+    return;
+  iv_arrivals_remove (arrivals, job->spec.accepted_ms, job->id);
+  if (iv_arrivals_count (arrivals) == 0)
+    g_hash_table_remove (table->arrivals, job->workspace);
+}
+
+gboolean
+iv_job_table_is_beyond_rate (const struct iv_job_table *table, const struct iv_job_entry *job,
+                             double rate)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  return arrivals && iv_arrivals_is_beyond (arrivals, rate, job->spec.accepted_ms, job->id);
+}
+
 static enum iv_status
-apply_spec (struct iv_job_entry *job, const guint8 *value, gsize len)
+apply_spec (struct iv_job_table *table, struct iv_job_entry *job, const guint8 *value, gsize len)
 {
   ivj_job_record record = { 0 };
   enum iv_status status;
@@ -165,6 +203,7 @@
   job->workspace = g_strdup (record.workspace ? record.workspace : "");
   free (record.workspace);
   job->accepted = TRUE;
+  add_arrival (table, job);
   return IV_OK;
 }
 
@@ -256,7 +295,7 @@
     }
   job = find_or_add_job (table, id);
   if (*suffix == '\0')
-    status = apply_spec (job, value, len);
+    status = apply_spec (table, job, value, len);
   else if (strcmp (suffix, IV_KEY_PROGRESS) == 0)
     status = apply_progress (job, value, len);
   else if (strcmp (suffix, IV_KEY_CRASHES) == 0)
@@ -312,8 +351,10 @@
 iv_job_table_remove (struct iv_job_table *table, const char *id)
 {
   struct iv_job_entry *job = g_hash_table_lookup (table->jobs, id);
-  if (job && job->exec == NULL && job->guests == 0)
-    g_hash_table_remove (table->jobs, id);
+  if (job == NULL || job->exec || job->guests > 0)
+    return;
+  remove_arrival (table, job);
+  g_hash_table_remove (table->jobs, id);
 }
 
 enum ivj_state
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -87,6 +87,11 @@
 /** Call @a each for every accepted job. */
 void iv_job_table_foreach (struct iv_job_table *table, iv_job_table_fn each, void *context);
 
+/** Whether @a job, of a workspace that is owed @a rate jobs a second, came beyond that rate, by the
+ *  times at which the jobs of the workspace were accepted: see iv_arrivals_is_beyond(). */
+gboolean iv_job_table_is_beyond_rate (const struct iv_job_table *table,
+                                      const struct iv_job_entry *job, double rate);
+
 /** Number of queued jobs in the queue of @a host and @a prefix: none of their tasks has started. */
 guint iv_job_table_pending (struct iv_job_table *table, const char *host, const char *prefix);
 
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -20,7 +20,8 @@
   return !exec->started && exec->placed == 0 && (owner->previous_runs_known || !exec->inherited);
 }
 
-/* CPU demand of the first stage that is ready; 0: none is. */
+/* CPU demand of the first stage that is ready, and that not only the limit of its workspace holds;
+   0: none is. */
 static gint64
 waiting_milli (const struct iv_job_exec *exec, enum iv_capacity_kind *kind)
 {
@@ -30,7 +31,8 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           const struct iv_stage *stage = &occurrence->stages[j];
-          if (!iv_stage_ready (occurrence, stage))
+          if (!iv_stage_ready (occurrence, stage)
+              || (stage->held > 0 && iv_stage_lacking (stage) == 0))
             continue;
           *kind
               = stage->step->flags & IVJ_BEST_EFFORT ? IV_CAPACITY_BEST_EFFORT : IV_CAPACITY_BATCH;
@@ -131,7 +133,7 @@
         {
           struct iv_stage *stage = &occurrence->stages[j];
           struct iv_placement_query query;
-          if (iv_stage_waiting (stage) > 0 && iv_stage_ready (occurrence, stage)
+          if (iv_stage_lacking (stage) > 0 && iv_stage_ready (occurrence, stage)
               && stage->waiting_since_ms > 0 && now_ms >= stage->waiting_since_ms + MOVE_AFTER_MS
               && iv_dispatch_query (owner, exec, stage, occurrence->number, now_ms, &query)
               && !iv_place_can_hold_stage (&query))
@@ -205,7 +207,7 @@
     {
       const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
-        if (iv_stage_waiting (&occurrence->stages[j]) > 0)
+        if (iv_stage_lacking (&occurrence->stages[j]) > 0)
           return FALSE;
     }
   return TRUE;
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -49,6 +49,11 @@
   owner->unrecorded = g_ptr_array_new ();
   owner->departures = g_array_new (FALSE, FALSE, sizeof (struct iv_departure));
   owner->wall_ms = wall_ms;
+  if (effects->workspace_limit && effects->workspace_weight)
+    {
+      owner->usage = iv_workspace_usage_new ();
+      owner->left_usage = iv_owner_new_left_usage ();
+    }
   owner->loading_jobs = TRUE;
   iv_job_table_foreach (jobs, take_over_job, owner);
   owner->loading_jobs = FALSE;
@@ -85,6 +90,8 @@
   g_hash_table_destroy (owner->guests);
   g_ptr_array_free (owner->unrecorded, TRUE);
   g_array_free (owner->departures, TRUE);
+  iv_workspace_usage_free (owner->usage);
+  g_clear_pointer (&owner->left_usage, g_hash_table_destroy);
   g_free (owner);
 }
 
@@ -193,6 +200,7 @@
             exec->objective_ms - now_ms);
   iv_histogram_add (iv_histogram_get ("ibisvane_job_ms", "From reading a job to its end."),
                     now_ms - exec->first_seen_ms);
+  iv_owner_keep_usage (owner, exec);
   if (exec->placed > 0)
     iv_owner_stop_job (owner, job, now_ms);
   g_ptr_array_remove_fast (owner->execs, exec);
@@ -221,6 +229,7 @@
 iv_owner_withdraw (struct iv_owner *owner, struct iv_job_exec *exec, gint64 now_ms)
 {
   iv_event (IV_LEVEL_WARNING, "job.withdrawn", "job=%s placed=%u", exec->job->id, exec->placed);
+  iv_owner_keep_usage (owner, exec);
   if (exec->placed > 0)
     iv_owner_stop_job (owner, exec->job, now_ms);
   g_ptr_array_remove_fast (owner->execs, exec);
@@ -256,7 +265,10 @@
   if (exec == NULL)
     {
       if (iv_job_state_is_final (job->progress.state) || iv_job_state_is_final (job->live_state))
-        return;
+        {
+          iv_owner_keep_ended_usage (owner, job);
+          return;
+        }
       exec = iv_job_exec_new (job, now_ms);
       exec->owner = owner;
       exec->inherited = owner->loading_jobs;
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -376,6 +376,12 @@
  *  the reserve for batch tasks. FALSE until the runs of previous owners are known. */
 gboolean iv_owner_free_capacity (struct iv_owner *owner, struct iv_cell_capacity *capacity);
 
+/** What the workspaces that have tasks in the cell use and want: struct iv_workspace_demand, in no
+ *  order. `used` is counted now, `wanted` is that of the newest dispatch. Free with
+ *  g_array_unref(); the names are valid until the owner is called again. Empty when there are no
+ *  workspaces. */
+GArray *iv_owner_workspace_demand (struct iv_owner *owner);
+
 /** Workers of the cell, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
 
--- a/jobs/owner_load.c
+++ b/jobs/owner_load.c
@@ -11,7 +11,7 @@
 struct load
 {
   guint workers, usable, latency_workers, runs, best_effort, throttled, halted, waiting;
-  guint reserved, long_running_waiting;
+  guint reserved, long_running_waiting, limited;
   gint64 capacity_milli, used_milli, best_effort_milli, reclaimable_milli;
 };
 
@@ -49,10 +49,11 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           const struct iv_stage *stage = &occurrence->stages[j];
-          guint waiting = iv_stage_waiting (stage);
+          guint waiting = iv_stage_lacking (stage);
           if (!iv_stage_ready (occurrence, stage))
             continue;
           load->waiting += waiting;
+          load->limited += MIN (stage->held, iv_stage_waiting (stage));
           load->long_running_waiting += stage->step->flags & IVJ_LONG_RUNNING ? waiting : 0;
         }
     }
@@ -77,11 +78,11 @@
             "workers=%u usable=%u serving=%u cores=%" G_GINT64_FORMAT " used=%" G_GINT64_FORMAT
             " fill=%" G_GINT64_FORMAT " reclaimable=%" G_GINT64_FORMAT
             " runs=%u fills=%u paced=%u halted=%u jobs=%u tasks_waiting=%u long_running_waiting=%u"
-            " reserved=%u",
+            " reserved=%u limited=%u",
             load.workers, load.usable, load.latency_workers, load.capacity_milli / 1000,
             load.used_milli / 1000, load.best_effort_milli / 1000, load.reclaimable_milli / 1000,
             load.runs, load.best_effort, load.throttled, load.halted, owner->execs->len,
-            load.waiting, load.long_running_waiting, load.reserved);
+            load.waiting, load.long_running_waiting, load.reserved, load.limited);
 }
 
 /* Workers of one failure domain that are listed and have been asked. */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -8,6 +8,7 @@
 #include "event.h"
 #include "interference.h"
 #include "owner.h"
+#include "workspace_usage.h"
 
 /** A start takes this long to arrive: failure domains are milliseconds apart. */
 #define IV_MIN_START_WINDOW_MS 100
@@ -85,8 +86,54 @@
   guint64 crash_batch;   /**< collection that records the newest crash */
   guint64 stored_batch;  /**< newest collection that was stored */
   guint64 batch;         /**< number of the newest collection of progress records */
+  struct iv_workspace_usage *usage; /**< by workspace; NULL: there are no workspaces */
+  GHashTable *left_usage;           /**< from job id to what runs of it may be left, see
+                                         iv_owner_keep_usage() */
+  struct iv_resources capacity;     /**< of the listed workers, as of this dispatch */
+  double weight_sum;                /**< of the workspaces with tasks here, as of this dispatch */
+  double turn_end;                  /**< a job goes on while its workspace is not above this */
+  gboolean turn_ended;              /**< it was, and the job has tasks left to start */
 };
 
+/** The table for `left_usage`. */
+GHashTable *iv_owner_new_left_usage (void);
+
+/** Count what each workspace uses in the cell: owner_workspaces.c. */
+void iv_owner_count_usage (struct iv_owner *owner);
+
+/** Count anew and read limits and weights, for a dispatch. */
+void iv_owner_begin_accounts (struct iv_owner *owner);
+
+/** The dispatch has ended: log which workspaces wait for their limits. */
+void iv_owner_end_accounts (struct iv_owner *owner, gint64 now_ms);
+
+/** The account of the workspace of @a job; NULL when it has none. */
+struct iv_workspace_account *iv_owner_account (struct iv_owner *owner,
+                                               const struct iv_job_entry *job);
+
+/** Share of the cell that the workspace uses, by its weight: comparable between workspaces, and
+ * with iv_owner_fair_level(). 0 for no account, and for a weight that is not known. */
+double iv_owner_usage_level (const struct iv_owner *owner,
+                             const struct iv_workspace_account *account);
+
+/** The level at which a workspace uses its share. */
+double iv_owner_fair_level (const struct iv_owner *owner);
+
+/** The job of @a exec, which is about to be freed, may have runs left on workers that have not
+ *  answered yet: count what it uses now until they have. */
+void iv_owner_keep_usage (struct iv_owner *owner, const struct iv_job_exec *exec);
+
+/** The same for @a job, which a previous owner has ended. */
+void iv_owner_keep_ended_usage (struct iv_owner *owner, const struct iv_job_entry *job);
+
+/** The limit of the workspace holds tasks of @a stage: count @a waiting of them as held, and
+ *  @a wanted of them as wanted. */
+void iv_owner_hold_tasks (struct iv_workspace_account *account, struct iv_stage *stage,
+                          guint waiting, guint wanted);
+
+/** Note since when tasks of @a stage are held, and for how long they were. */
+void iv_owner_note_held (struct iv_job_exec *exec, struct iv_stage *stage, gint64 now_ms);
+
 /** Note when every run of a previous owner is known. @a confirmed: no other host can own the cell.
  *  takeover.c. */
 void iv_owner_check_previous_runs (struct iv_owner *owner, gboolean confirmed, gint64 now_ms);
@@ -245,6 +292,7 @@
   const struct iv_job_entry *job;
   const struct iv_stage *stage;
   guint occurrence;
+  struct iv_workspace_account *account; /**< of the workspace of the job; NULL: it has none */
   const char *service;
   const char *rack;          /**< the only rack allowed; NULL: any */
   guint32 workload;          /**< image of the stage in the interference model */
--- a/jobs/room.c
+++ b/jobs/room.c
@@ -36,10 +36,11 @@
       demand->long_running_milli += (gint64)stage->step->cpu_milli * unfinished;
       demand->long_running_tasks += unfinished;
       demand->largest_milli = MAX (demand->largest_milli, (gint64)stage->step->cpu_milli);
-      demand->unplaced_milli += (gint64)stage->step->cpu_milli * iv_stage_waiting (stage);
+      demand->unplaced_milli += (gint64)stage->step->cpu_milli * iv_stage_lacking (stage);
     }
   else if (iv_stage_ready (occurrence, stage))
-    demand->batch_milli += (gint64)stage->step->cpu_milli * unfinished;
+    demand->batch_milli
+        += (gint64)stage->step->cpu_milli * (unfinished - MIN (unfinished, stage->held));
 }
 
 static struct demand
@@ -166,7 +167,7 @@
               const struct iv_stage *stage = &occurrence->stages[k];
               const ivj_step *step = stage->step;
               struct waiting row = {
-                &exec->job->spec, step, { step->cpu_milli, step->mem_mb }, iv_stage_waiting (stage)
+                &exec->job->spec, step, { step->cpu_milli, step->mem_mb }, iv_stage_lacking (stage)
               };
               if ((step->flags & (IVJ_LONG_RUNNING | IVJ_BEST_EFFORT)) == IVJ_LONG_RUNNING
                   && row.count > 0)
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -486,6 +486,30 @@
     iv_job_table_apply (sim->job_table, key, (const guint8 *)value, strlen (value));
 }
 
+static const struct sim_workspace *
+find_workspace (const struct sim *sim, const char *name)
+{
+  for (guint i = 0; i < sim->workspace_count; i++)
+    if (strcmp (sim->workspaces[i].name, name) == 0)
+      return &sim->workspaces[i];
+  return NULL;
+}
+
+static void
+on_workspace_limit (void *context, const char *workspace, struct iv_workspace_limit *limit)
+{
+  const struct sim_workspace *known = find_workspace (context, workspace);
+  if (known)
+    *limit = known->limit;
+}
+
+static double
+on_workspace_weight (void *context, const char *workspace)
+{
+  const struct sim_workspace *known = find_workspace (context, workspace);
+  return known ? known->weight : 0;
+}
+
 void
 sim_start_owner (struct sim *sim)
 {
@@ -505,6 +529,11 @@
                                       .record_delegation = on_record_delegation,
                                       .count_elsewhere = on_count_elsewhere,
                                       .move_job = on_move_job };
+  if (sim->workspace_count > 0)
+    {
+      effects.workspace_limit = on_workspace_limit;
+      effects.workspace_weight = on_workspace_weight;
+    }
   iv_owner_free (sim->owner);
   sim_drop_records (sim);
   sim->term += IV_FENCES_PER_TERM;
@@ -521,7 +550,28 @@
 void
 sim_submit (struct sim *sim, const char *id, const ivj_job *spec)
 {
-  GByteArray *bytes = iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, spec, IV_RECORD_MAX_BYTES);
+  sim_submit_for (sim, "", id, spec);
+}
+
+gint64
+sim_workspace_milli (const struct sim *sim, const char *workspace)
+{
+  gint64 sum = 0;
+  for (guint i = 0; i < sim->count; i++)
+    for (guint j = 0; j < sim->workers[i].runs->len; j++)
+      {
+        const struct sim_run *run = &g_array_index (sim->workers[i].runs, struct sim_run, j);
+        const struct iv_job_entry *job = iv_job_table_find (sim->job_table, run->name.job);
+        if (job && strcmp (job->workspace, workspace) == 0)
+          sum += job->spec.steps.steps_val[run->name.step].cpu_milli;
+      }
+  return sum;
+}
+
+void
+sim_submit_for (struct sim *sim, const char *workspace, const char *id, const ivj_job *spec)
+{
+  GByteArray *bytes = iv_job_encode_spec (spec, workspace);
   iv_job_table_apply (sim->job_table, id, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
   if (sim->owner)
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -16,6 +16,7 @@
 #define SIM_ADDRESS "127.0.0.1:1" /**< of every worker at first: its id tells it apart */
 #define SIM_OTHER_CELL 1          /**< number of the cell that tasks are delegated to */
 #define SIM_DOWN_MS 3000          /**< a worker that crashed is back after this */
+#define SIM_WORKSPACES_MAX 8
 
 /** A run on a simulated worker. */
 struct sim_run
@@ -78,6 +79,14 @@
   gint64 late_polls_ms; /**< the same for polls */
 };
 
+/** A workspace as the configuration has it. */
+struct sim_workspace
+{
+  const char *name;
+  double weight;
+  struct iv_workspace_limit limit; /**< in this cell */
+};
+
 /** A call that has not been delivered, or has no reply yet. */
 struct sim_call;
 
@@ -154,6 +163,8 @@
   guint refused_starts; /**< starts that a worker refused for lack of capacity */
   guint throttle_calls;
   guint last_cpu_limit_percent; /**< limit in the last of these */
+  struct sim_workspace workspaces[SIM_WORKSPACES_MAX];
+  guint workspace_count; /**< 0 when an owner starts: it knows of no workspaces */
   struct iv_owner_limits limits;
 };
 
@@ -194,6 +205,12 @@
 /** Submit a job with @a spec as @a id; @a spec stays owned by the caller. */
 void sim_submit (struct sim *sim, const char *id, const ivj_job *spec);
 
+/** The same for a job of @a workspace; "": it has none. */
+void sim_submit_for (struct sim *sim, const char *workspace, const char *id, const ivj_job *spec);
+
+/** Cores, in thousandths, that the tasks of @a workspace use on all workers at present. */
+gint64 sim_workspace_milli (const struct sim *sim, const char *workspace);
+
 /** The owner reads a delegation record of job @a id. */
 void sim_apply_delegation (struct sim *sim, const char *id, const struct iv_delegation *delegation);
 
