Count runs of jobs that ended before a takeover, and share cores that come free at once

The record of an end does not hold how many occurrences were open, so the account of such a job was 0.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -78,7 +78,7 @@
 count_start (const struct iv_owner *owner, struct iv_workspace_account *account,
              const ivj_step *step)
 {
-  gboolean above = iv_owner_usage_level (owner, account) > iv_owner_fair_level (owner);
+  gboolean above = iv_owner_usage_level (owner, account) >= iv_owner_fair_level (owner);
   iv_workspace_account_count (account, above ? IV_WORKSPACE_STARTED_ABOVE : IV_WORKSPACE_STARTED,
                               1);
   iv_workspace_account_use (account, step, 1);
@@ -460,10 +460,10 @@
     }
 }
 
-/* Whether the workspace of the job, which has an account and a weight, uses more than its share, or
-   had sent more jobs than it is owed when this one came. */
+/* Whether the workspace of the job had sent more than it is owed when the job came. One without a
+   weight is owed nothing, and has no share. */
 static gboolean
-is_above_share (struct iv_owner *owner, const struct candidate *candidate)
+is_beyond_rate (struct iv_owner *owner, const struct candidate *candidate)
 {
   struct iv_job_exec *exec = candidate->exec;
   const struct iv_workspace_account *account = candidate->account;
@@ -472,7 +472,7 @@
   if (!exec->rate_judged)
     exec->beyond_rate = iv_job_table_is_beyond_rate (owner->jobs, exec->job, account->weight);
   exec->rate_judged = TRUE;
-  return exec->beyond_rate || iv_owner_usage_level (owner, account) > iv_owner_fair_level (owner);
+  return exec->beyond_rate;
 }
 
 /* Starts tasks of the job until its workspace is above @a turn_end. FALSE when that kept tasks from
@@ -483,6 +483,8 @@
 {
   owner->turn_end = turn_end;
   owner->turn_ended = FALSE;
+  if (iv_owner_usage_level (owner, candidate->account) > turn_end)
+    return FALSE;
   if (owner->start_credit > 0 || candidate->account)
     dispatch_job (owner, candidate, now_ms);
   return !owner->turn_ended;
@@ -547,9 +549,10 @@
 dispatch_group (struct iv_owner *owner, struct candidate *group, guint len, gint64 now_ms)
 {
   GSequence *turns = g_sequence_new (g_free);
+  /* A workspace that uses all of its share is not within it with one more task. */
+  double turn_end = nextafter (iv_owner_fair_level (owner), 0);
   for (guint i = 0; i < len; i++)
-    if (is_above_share (owner, &group[i])
-        || !dispatch_turn (owner, &group[i], iv_owner_fair_level (owner), now_ms))
+    if (is_beyond_rate (owner, &group[i]) || !dispatch_turn (owner, &group[i], turn_end, now_ms))
       wait_for_turn (owner, turns, &group[i]);
   take_turns (owner, turns, now_ms);
   g_sequence_free (turns);
--- a/jobs/workspace_usage.c
+++ b/jobs/workspace_usage.c
@@ -205,7 +205,8 @@
                                 const struct iv_job_entry *job)
 {
   const ivj_job *spec = &job->spec;
-  guint occurrences = MIN (job->progress.opened, iv_job_exec_open_max (spec));
+  /* The record of an end does not say how many were open. */
+  guint occurrences = CLAMP (spec->times, 1, iv_job_exec_open_max (spec));
   struct possible possible[IVJ_STEPS_MAX] = { 0 };
   for (guint i = 0; i < spec->steps.steps_len; i++)
     {
