--- a/tests/scripts/bench.sh
+++ b/tests/scripts/bench.sh
@@ -7,6 +7,7 @@
 "$BUILD/bench/sched_bench" "$SEED"
 "$BUILD/bench/route_bench" "$SEED"
 "$BUILD/bench/horizon_bench"
+"$BUILD/bench/workspaces_bench" 2>/dev/null
 "$BUILD/bench/slopes_bench" | grep '^slope' | grep -E 'decision_ns|bytes_per_task' |
   sed -E "s/slope measure=([a-z_]+) workers=([0-9]+) value=([0-9.]+) unit=(.*)/bench measure=\1 user=khairat ours=\3 baseline=0 baseline_name=none_at_\2_workers unit=\4 seed=$SEED/"
 
