Count tasks that the limit holds once in a dispatch, and in the metrics

A job whose workspace has two turns in a dispatch visited the step that the limit held twice, and counted its tasks as wanted each time.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -183,7 +183,7 @@
             guint lacking, gint64 now_ms)
 {
   guint startable = count_startable (owner, exec, stage, first, now_ms);
-  iv_owner_hold_tasks (account, stage, lacking > 0 ? startable : iv_stage_waiting (stage),
+  iv_owner_hold_tasks (owner, account, stage, lacking > 0 ? startable : iv_stage_waiting (stage),
                        startable);
 }
 
@@ -318,7 +318,7 @@
     return;
   if (query->account && !iv_workspace_account_admits (query->account, stage->step, count))
     {
-      iv_owner_hold_tasks (query->account, stage, count, count);
+      iv_owner_hold_tasks (owner, query->account, stage, count, count);
       return;
     }
   if (owner->start_credit == 0 || is_turn_over (owner, query))
@@ -420,7 +420,7 @@
     dispatch_gang (owner, &query, exec, stage, &name);
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
-  iv_owner_note_held (exec, stage, now_ms);
+  iv_owner_note_held (candidate->account, exec, stage, now_ms);
   /* A task whose turn comes later in this dispatch does not lack a worker yet. */
   if (!owner->turn_ended)
     note_waiting (stage, &query);
@@ -435,7 +435,7 @@
   stage->held = 0;
   if (!iv_workspace_account_admits (candidate->account, stage->step, together))
     hold_tasks (owner, candidate->exec, candidate->account, stage, 0, 0, now_ms);
-  iv_owner_note_held (candidate->exec, stage, now_ms);
+  iv_owner_note_held (candidate->account, candidate->exec, stage, now_ms);
 }
 
 static void
@@ -452,6 +452,9 @@
             stage->waiting_since_ms = 0;
           else if (!iv_stage_ready (occurrence, stage))
             continue;
+          /* In a second turn: what the limit held still waits for it, and is counted. */
+          else if (candidate->account && stage->held_dispatch == owner->dispatches)
+            continue;
           else if (owner->start_credit > 0 || candidate->account == NULL)
             dispatch_stage (owner, candidate, occurrence, stage, now_ms);
           else
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -55,8 +55,9 @@
   guint placed;              /**< tasks in state IV_JOB_TASK_PLACED */
   guint away;                /**< tasks in state IV_JOB_TASK_AWAY */
   guint held;                /**< waiting tasks that only the limit of their workspace holds, as of
-                                the newest dispatch... */
-  gint64 held_since_ms;      /**< ...and since when there are any; 0: there are none */
+                                the newest dispatch */
+  guint64 held_dispatch;     /**< number of the dispatch that held tasks last */
+  gint64 held_since_ms;      /**< since when tasks are held; 0: none is */
   gboolean runs_known;       /**< no previous owner can have started any of its tasks */
   gint64 waiting_since_ms;   /**< since when some of its tasks could not be placed; 0: none is */
   gint64 next_wait_log_ms;   /**< when to log next that they wait */
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -92,6 +92,7 @@
   struct iv_resources capacity;     /**< of the listed workers, as of this dispatch */
   double weight_sum;                /**< of the workspaces with tasks here, as of this dispatch */
   double turn_end;                  /**< a job goes on while its workspace is not above this */
+  guint64 dispatches;               /**< number of this dispatch */
   gboolean turn_ended;              /**< it was, and the job has tasks left to start */
 };
 
@@ -128,11 +129,13 @@
 
 /** The limit of the workspace holds tasks of @a stage: count @a waiting of them as held, and
  *  @a wanted of them as wanted. */
-void iv_owner_hold_tasks (struct iv_workspace_account *account, struct iv_stage *stage,
-                          guint waiting, guint wanted);
+void iv_owner_hold_tasks (const struct iv_owner *owner, struct iv_workspace_account *account,
+                          struct iv_stage *stage, guint waiting, guint wanted);
 
-/** Note since when tasks of @a stage are held, and for how long they were. */
-void iv_owner_note_held (struct iv_job_exec *exec, struct iv_stage *stage, gint64 now_ms);
+/** Note since when tasks of @a stage are held, and for how long they were. @a account is NULL for a
+ *  job without a workspace, whose tasks are not. */
+void iv_owner_note_held (struct iv_workspace_account *account, struct iv_job_exec *exec,
+                         struct iv_stage *stage, gint64 now_ms);
 
 /** Note when every run of a previous owner is known. @a confirmed: no other host can own the cell.
  *  takeover.c. */
--- a/jobs/owner_workspaces.c
+++ b/jobs/owner_workspaces.c
@@ -146,6 +146,7 @@
   if (owner->usage == NULL)
     return;
   owner->weight_sum = 0;
+  owner->dispatches++;
   iv_owner_count_usage (owner);
   iv_workspace_usage_foreach (owner->usage, begin_account, owner);
 }
@@ -256,21 +257,25 @@
 }
 
 void
-iv_owner_hold_tasks (struct iv_workspace_account *account, struct iv_stage *stage, guint waiting,
-                     guint wanted)
+iv_owner_hold_tasks (const struct iv_owner *owner, struct iv_workspace_account *account,
+                     struct iv_stage *stage, guint waiting, guint wanted)
 {
+  stage->held_dispatch = owner->dispatches;
   stage->held = waiting;
   iv_workspace_account_want (account, stage->step, wanted);
 }
 
 void
-iv_owner_note_held (struct iv_job_exec *exec, struct iv_stage *stage, gint64 now_ms)
+iv_owner_note_held (struct iv_workspace_account *account, struct iv_job_exec *exec,
+                    struct iv_stage *stage, gint64 now_ms)
 {
   if (stage->held > 0)
     {
       exec->last_held_ms = now_ms;
-      if (stage->held_since_ms == 0)
-        stage->held_since_ms = now_ms;
+      if (stage->held_since_ms > 0)
+        return;
+      stage->held_since_ms = now_ms;
+      iv_workspace_account_count (account, IV_WORKSPACE_LIMITED, stage->held);
     }
   else if (stage->held_since_ms > 0)
     {
--- a/jobs/tests/workspace_usage_test.c
+++ b/jobs/tests/workspace_usage_test.c
@@ -571,6 +571,31 @@
   sim_free (sim);
 }
 
+/* Guards against tasks that are wanted twice because their job has two turns in a dispatch: its
+   first step waits for the limit, its second for the turn. */
+static void
+test_held_tasks_are_wanted_once (void **state)
+{
+  struct sim *sim = cell_with_limit (-1, FALSE);
+  sim->workspaces[0].limit.max = (struct iv_resources){ -1, 2500, -1 };
+  submit (sim, "", job_id (1), 2 * WORKERS);
+  sim_advance (sim, 200);
+  sim_make_job (4, 2 * WORKERS);
+  sim_steps[0].mem_mb = 1000;
+  sim_steps[1].depends.depends_len = 0;
+  sim_submit_for (sim, WORKSPACE, job_id (2), &sim_spec);
+  submit (sim, "other", job_id (3), 2 * WORKERS);
+  sim_advance (sim, 200);
+  for (guint i = 0; i < 2 * WORKERS; i++)
+    {
+      sim_end_run (sim, job_id (1), 0, i, IV_END_DONE);
+      sim_advance (sim, 70);
+      assert_in_range (demand (sim, WORKSPACE).wanted.mem_mb, 0, 2000);
+    }
+  assert_int_equal (demand (sim, WORKSPACE).wanted.mem_mb, 2000);
+  sim_free (sim);
+}
+
 /* Guards against a burst beyond the rate of its workspace that comes before a later job of another
    while neither is above its share. */
 static void
@@ -647,6 +672,7 @@
     cmocka_unit_test (test_flood_delays_no_others),
     cmocka_unit_test (test_shares_follow_weights),
     cmocka_unit_test (test_cores_that_come_free_at_once_are_shared),
+    cmocka_unit_test (test_held_tasks_are_wanted_once),
     cmocka_unit_test (test_burst_beyond_the_rate_waits),
     cmocka_unit_test (test_job_without_workspace_keeps_its_place),
   };
--- a/jobs/workspace_usage.h
+++ b/jobs/workspace_usage.h
@@ -18,7 +18,7 @@
 {
   IV_WORKSPACE_STARTED,       /**< a task started while its workspace was within its share */
   IV_WORKSPACE_STARTED_ABOVE, /**< a task started although its workspace was above its share */
-  IV_WORKSPACE_LIMITED,       /**< a task began to wait for the limit of its workspace */
+  IV_WORKSPACE_LIMITED,       /**< tasks of a step that began to wait for the limit */
   IV_WORKSPACE_OUTCOMES
 };
 
