--- a/jobs/tests/workspace_usage_test.c
+++ b/jobs/tests/workspace_usage_test.c
@@ -13,12 +13,15 @@
 #define WORKERS 8 /* of four cores */
 #define TASK_MILLI 2000
 #define HORIZON_MS 9000 /* after it, no run of a previous owner is left: see sim_new() */
-#define SEEDS 10
 #define ROUNDS 300
+#define TASKS_MAX 6
+#define RUN_MS 400
 #define LOST_MS                                                                                    \
   3000 /* a job must not wait longer without a run beside free capacity: the target                \
         */
 
+static struct sim_seeds seeds = { 1, 10, FALSE };
+
 static char *
 job_id (guint number)
 {
@@ -390,7 +393,7 @@
   struct sim_worker *worker = &sim->workers[sim_between (random, 0, WORKERS - 1)];
   if (sim_one_in (random, 2))
     submit (sim, sim_one_in (random, 3) ? "other" : WORKSPACE, job_id (++*next),
-            (guint)sim_between (random, 1, 6));
+            (guint)sim_between (random, 1, TASKS_MAX));
   if (sim_one_in (random, 8) && *next > 0)
     cancel (sim, job_id ((guint)sim_between (random, 1, *next)));
   if (worker->runs->len > 0 && sim_one_in (random, 6))
@@ -401,6 +404,7 @@
     }
   worker->drops_replies = sim_one_in (random, 10);
   worker->refuses_starts = sim_one_in (random, 20);
+  sim->cut[worker - sim->workers] = sim_one_in (random, 12);
   worker->start_delay_ms = sim_one_in (random, 10) ? 300 : 0;
   worker->stop_grace_ms = sim_between (random, 0, 900);
   if (sim_one_in (random, 40))
@@ -410,25 +414,29 @@
 }
 
 /* Guards against starts beyond the limit after ends, failures, lost and late starts, stops,
-   restarts of workers and takeovers, and against an account that never comes down again. */
+   restarts and partitions of workers and takeovers, and against an account that never comes down
+   again. */
 static void
 test_limit_holds_through_disturbances (void **state)
 {
-  for (guint seed = 1; seed <= SEEDS; seed++)
+  for (guint seed = seeds.first; seed < seeds.first + seeds.count; seed++)
     {
       GRand *random = g_rand_new_with_seed (seed);
       gint64 max_milli = sim_between (random, 2, 8) * TASK_MILLI;
       struct sim *sim = cell_with_limit (max_milli, FALSE);
       guint next = 0;
-      sim->run_ms = 400;
+      sim->run_ms = RUN_MS;
       for (guint i = 0; i < ROUNDS; i++)
         {
           disturb (sim, random, &next);
           advance_within (sim, sim_between (random, 10, 100), max_milli);
         }
       for (guint i = 0; i < WORKERS; i++)
-        sim->workers[i].drops_replies = sim->workers[i].refuses_starts = FALSE;
-      advance_within (sim, 60000, max_milli);
+        sim->cut[i] = sim->workers[i].drops_replies = sim->workers[i].refuses_starts = FALSE;
+      /* Time for all tasks of all jobs in turn, as many at a time as the limit admits. */
+      advance_within (sim,
+                      HORIZON_MS + (gint64)next * TASKS_MAX * 2 * RUN_MS * TASK_MILLI / max_milli,
+                      max_milli);
       assert_int_equal (demand (sim, WORKSPACE).used.cpu_milli, 0);
       for (guint i = 1; i <= next; i++)
         assert_true (iv_job_state_is_final (sim_job_state (sim, job_id (i))));
@@ -439,7 +447,7 @@
 
 #define FAIR_MS 6000
 #define FAIR_RUN_MS 200
-#define FAIR_WORKSPACES 4
+#define FAIR_WORKSPACES 5
 #define NOTICE_MS                                                                                  \
   100 /* from the end of a task until its cores are used again: polls and a tick                   \
        */
@@ -464,7 +472,7 @@
 play_arrivals (u_int cpu_milli, const gint64 intervals_ms[FAIR_WORKSPACES],
                const double weights[FAIR_WORKSPACES], struct waits waits[FAIR_WORKSPACES])
 {
-  static const char *const names[FAIR_WORKSPACES] = { "a", "b", "c", "d" };
+  static const char *const names[FAIR_WORKSPACES] = { "a", "b", "c", "d", "e" };
   gint64 *sent_ms = g_new0 (gint64, FAIR_MS);
   guint *senders = g_new0 (guint, FAIR_MS);
   guint next = 0;
@@ -508,20 +516,20 @@
   g_free (senders);
 }
 
-/* Guards against a workspace that sends five times its share and delays the others, which send less
+/* Guards against a workspace that sends six times its share and delays the others, which send less
    than theirs, whether it is held back by its rate or by its share alone. 16 tasks run at a time,
-   80 a second, of which each is owed 20. Nothing is preempted, so a task of the others waits until
-   one of any workspace has ended. */
+   80 a second, of which each of five is owed 16. Nothing is preempted, so a task of the others
+   waits until one of any workspace has ended. */
 static void
 test_flood_delays_no_others (void **state)
 {
-  static const gint64 intervals_ms[FAIR_WORKSPACES] = { 10, 70, 80, 90 };
-  static const gint64 usual_ms[FAIR_WORKSPACES] = { 0, 70, 80, 90 };
-  static const double rates[] = { 20, 1000 };
+  static const gint64 intervals_ms[FAIR_WORKSPACES] = { 10, 70, 80, 90, 100 };
+  static const gint64 usual_ms[FAIR_WORKSPACES] = { 0, 70, 80, 90, 100 };
+  static const double rates[] = { 16, 1000 };
   for (guint rate = 0; rate < G_N_ELEMENTS (rates); rate++)
     {
-      const double weights[FAIR_WORKSPACES]
-          = { rates[rate], rates[rate], rates[rate], rates[rate] };
+      const double weight = rates[rate];
+      const double weights[FAIR_WORKSPACES] = { weight, weight, weight, weight, weight };
       struct waits flooded[FAIR_WORKSPACES] = { 0 }, usual[FAIR_WORKSPACES] = { 0 };
       play_arrivals (TASK_MILLI, usual_ms, weights, usual);
       play_arrivals (TASK_MILLI, intervals_ms, weights, flooded);
@@ -531,7 +539,7 @@
           assert_in_range (flooded[i].worst_ms, 0, usual[i].worst_ms + FAIR_RUN_MS + NOTICE_MS);
         }
       /* What the others leave is used. */
-      assert_true (flooded[0].started > FAIR_MS * 80 / 1000 / 4);
+      assert_true (flooded[0].started > FAIR_MS * 80 / 1000 / FAIR_WORKSPACES);
     }
 }
 
@@ -541,8 +549,8 @@
 static void
 test_shares_follow_weights (void **state)
 {
-  static const gint64 intervals_ms[FAIR_WORKSPACES] = { 10, 10, 10, 0 };
-  static const double weights[FAIR_WORKSPACES] = { 5, 10, 20, 10 };
+  static const gint64 intervals_ms[FAIR_WORKSPACES] = { 10, 10, 10, 0, 0 };
+  static const double weights[FAIR_WORKSPACES] = { 5, 10, 20, 10, 10 };
   const guint one_task = FAIR_MS / FAIR_RUN_MS;
   struct waits waits[FAIR_WORKSPACES] = { 0 };
   guint unit;
@@ -651,7 +659,6 @@
 int
 main (int argc, char **argv)
 {
-  struct sim_seeds seeds = { 0 };
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_limit_holds_one_workspace),
     cmocka_unit_test (test_each_resource_is_limited),
--- a/workspace/tests/fair_shares_test.c
+++ b/workspace/tests/fair_shares_test.c
@@ -70,6 +70,21 @@
   assert_int_equal (JOBS - judge (1, 0.25, 0, beyond), 1);
 }
 
+/* Guards against tokens that are saved up for longer than a second. */
+static void
+test_quiet_time_owes_one_second (void **state)
+{
+  struct iv_arrivals *arrivals = iv_arrivals_new ();
+  guint within = 0;
+  iv_arrivals_add (arrivals, START_MS, "first");
+  for (guint i = 0; i < JOBS; i++)
+    iv_arrivals_add (arrivals, START_MS + IV_ARRIVALS_WINDOW_MS / 2, ids[i]);
+  for (guint i = 0; i < JOBS; i++)
+    within += !iv_arrivals_is_beyond (arrivals, 10, START_MS + IV_ARRIVALS_WINDOW_MS / 2, ids[i]);
+  assert_int_equal (within, 10);
+  iv_arrivals_free (arrivals);
+}
+
 /* Guards against a judgement that an expired job still counts in. */
 static void
 test_removed_job_takes_no_token (void **state)
@@ -93,6 +108,7 @@
     cmocka_unit_test (test_dominant_share),
     cmocka_unit_test (test_order_of_reading_does_not_matter),
     cmocka_unit_test (test_rate),
+    cmocka_unit_test (test_quiet_time_owes_one_second),
     cmocka_unit_test (test_removed_job_takes_no_token),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
