--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -198,15 +198,6 @@
   return task->deps.count_elsewhere (task->deps.context, task->cell, need);
 }
 
-/* Stand-in until iv_owner_workspace_demand() of jobs/ is merged; that merge removes this block. */
-GArray *iv_owner_workspace_demand (struct iv_owner *owner);
-__attribute__ ((weak)) GArray *
-iv_owner_workspace_demand (struct iv_owner *owner)
-{
-  return NULL;
-}
-/* End of the stand-in. */
-
 /* Other cells may apply a lower cap by now, and run up to it. */
 static gboolean
 is_config_outdated (const struct iv_cell_task *task)
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -290,9 +290,8 @@
 has_capacity (const struct iv_front_task *task, const struct iv_access_caller *caller,
               const char *id, const ivj_job *spec)
 {
-  struct iv_job_entry job = {
-    .spec = *spec, .moved_to = -1, .chosen_cell = -1, .workspace = (char *)caller->workspace
-  };
+  struct iv_job_entry job
+      = { .spec = *spec, .moved_to = -1, .chosen_cell = -1, .workspace = caller->workspace };
   g_strlcpy (job.id, id, sizeof job.id);
   return task->deps.has_capacity (task->deps.context, &job);
 }
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -47,10 +47,10 @@
   gboolean cancel;   /**< a cancellation was recorded */
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
-  char *workspace; /**< that it was accepted for; "" when it has none */
   /** Cell that was chosen when it was accepted; -1: the layout assigns one. A part of the record of
    *  the job, so that hosts that accept the same job at the same time agree on one. */
   gint chosen_cell;
+  const char *workspace;     /**< that it was accepted for, interned; "" when it has none */
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
   GPtrArray *failures;       /**< of ivj_progress, as recorded with IV_KEY_FAILURES; NULL: none */
@@ -91,6 +91,11 @@
 /** Call @a each for every accepted job. */
 void iv_job_table_foreach (struct iv_job_table *table, iv_job_table_fn each, void *context);
 
+/** Whether @a job, of a workspace that is owed @a rate jobs a second, came beyond that rate, by the
+ *  times at which the jobs of the workspace were accepted: see iv_arrivals_is_beyond(). */
+gboolean iv_job_table_is_beyond_rate (const struct iv_job_table *table,
+                                      const struct iv_job_entry *job, double rate);
+
 /** Number of queued jobs in the queue of @a host and @a prefix: none of their tasks has started. */
 guint iv_job_table_pending (struct iv_job_table *table, const char *host, const char *prefix);
 
