--- a/daemon/tests/front_task_test.c
+++ b/daemon/tests/front_task_test.c
@@ -18,7 +18,8 @@
 
 #define TIMEOUT_MS 10000 /* of a test that does not progress; no test waits for it to pass */
 #define STORM 3000       /* calls */
-#define ACCEPT_BATCH_DELAY_MS 20
+/* Long enough for two requests to come before the first append. */
+#define ACCEPT_BATCH_DELAY_MS 100
 #define JOB "{\"Steps\":[{\"Count\":1,\"Cpu\":1,\"MemMb\":1}]}"
 #define ROUTES                                                                                     \
   "\"Routes\":[{\"Name\":\"q\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/q/\",\"Service\":\"s\"},"  \
