Claim above the terms that the host under test may reach

Cause: take_cell_away() raised its term by one step, and the host under test may have claimed the cell under just that term; a claim of a known term is ignored, so the host kept the cell.

--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -328,14 +328,18 @@
   return TRUE;
 }
 
-/* Lets another host own the cell until the state that the host under test has read is old. */
+/* Lets another host own the cell until the state that the host under test has read is old. That
+   host may claim the cell again under the next terms; a claim of a term that it has reached is
+   ignored, so each claim is above all of them. */
+#define TERMS_PER_CLAIM 16
+
 static void
 take_cell_away (void)
 {
   gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
   gboolean old = FALSE;
   for (gint64 term = 120 * IV_FENCES_PER_TERM; !old && (gint64)uv_now (loop) < end;
-       term += IV_FENCES_PER_TERM)
+       term += TERMS_PER_CLAIM * IV_FENCES_PER_TERM)
     {
       char claim[32];
       g_snprintf (claim, sizeof claim, "%" G_GINT64_FORMAT " other", term);
