Add learnt task durations and one module that decides on waits for a place

Waits for a rack were decided in rack.c by the estimate alone, and a data rack only added to a score. sched/task_lengths learns durations from ended runs, sched/place_wait decides for racks, data racks and gangs; both act where fleet.learn_lengths is set. A wait for a rack that is lost, drained or out of service now ends at once.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -566,6 +566,8 @@
           .evidence_max_age_ms = settings->evidence_max_age_ms,
           .harm_ms = settings->harm_ms,
           .far_factor_milli = settings->far_factor_milli,
+          .gang_wait_ms = settings->gang_wait_ms,
+          .learn_lengths = settings->learn_lengths != 0,
           .capacity_max_age_ms = (settings->contact_ms + settings->heartbeat_ms)
                                  * (100 - IV_WORKER_CLOCK_SLOW_PERCENT) / 100,
           .spare_rack = iv_layout_cells (layout) > 1 };
--- a/jobs/delegate.c
+++ b/jobs/delegate.c
@@ -155,6 +155,7 @@
     {
       exec = iv_job_exec_new_guest (job, owner->effects.cell, now_ms);
       exec->owner = owner;
+      exec->lengths = owner->lengths;
       exec->inherited = owner->loading_jobs;
       g_ptr_array_add (owner->execs, exec);
       g_hash_table_insert (owner->guests, g_strdup (job->id), exec);
--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -8,6 +8,7 @@
 #include "rack.h"
 #include "reserve.h"
 #include "sharing.h"
+#include "waits.h"
 
 #include <string.h>
 
@@ -72,6 +73,15 @@
          && iv_crash_may_start (owner, exec, iv_stage_suspect (stage, task));
 }
 
+/* Tasks of a rack-local step take longer once it runs in several racks. */
+static void
+note_rack (struct iv_stage *stage, const struct iv_fleet_worker *worker)
+{
+  guint hash = MAX (1, g_str_hash (worker->rack));
+  stage->spread |= stage->rack_hash > 0 && stage->rack_hash != hash;
+  stage->rack_hash = hash;
+}
+
 static void
 start_task (struct iv_owner *owner, const struct iv_placement_query *query,
             struct iv_job_exec *exec, struct iv_stage *stage, struct iv_job_task *task,
@@ -87,6 +97,11 @@
   run->phase = IV_RUN_PHASE_STARTING;
   iv_crash_run_started (run, iv_stage_suspect (stage, task));
   run->workload = iv_sharing_workload (owner, stage->step);
+  run->length_key = stage->length_key;
+  run->resumed = task->checkpoint != NULL;
+  if (task->first_sent_ms == 0)
+    task->first_sent_ms = now_ms;
+  note_rack (stage, worker);
   iv_sharing_add_run (owner, run, now_ms);
   run->start_deadline_clock_ms = command.deadline_clock_ms;
   worker->lease_end_clock_ms = MAX (worker->lease_end_clock_ms, command.deadline_clock_ms);
@@ -302,14 +317,16 @@
   iv_place_log_waiting (query, now_ms - stage->waiting_since_ms);
 }
 
+/* Sets @a choice to the choice of the rack. @a with_data: see iv_rack_choose(). */
 static struct iv_placement_query
 make_query (struct iv_owner *owner, const struct iv_job_exec *exec,
             const struct iv_queue_policy *policy, struct iv_stage *stage, guint occurrence,
-            gint64 now_ms)
+            gint64 now_ms, gboolean with_data, struct iv_rack_choice *choice)
 {
   struct iv_placement_query query
       = { .owner = owner,
           .job = exec->job,
+          .exec = exec,
           .stage = stage,
           .occurrence = occurrence,
           .service = policy->service,
@@ -319,8 +336,8 @@
           .reserves = reserves_workers (stage->step),
           .starved = exec->placed == 0 && now_ms > exec->last_placed_ms + STARVED_AFTER_MS,
           .now_ms = now_ms };
-  if (stage->step->flags & IVJ_RACK_LOCAL)
-    query.rack = iv_rack_choose (&query);
+  *choice = iv_rack_choose (&query, with_data);
+  query.rack = choice->made.place;
   if (query.advised)
     iv_advice_send_query (owner, &query, stage);
   return query;
@@ -332,9 +349,10 @@
 {
   const ivj_job *spec = &exec->job->spec;
   struct iv_queue_policy policy;
+  struct iv_rack_choice choice;
   if (!owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &policy))
     return FALSE;
-  *query = make_query (owner, exec, &policy, stage, occurrence, now_ms);
+  *query = make_query (owner, exec, &policy, stage, occurrence, now_ms, FALSE, &choice);
   return TRUE;
 }
 
@@ -344,13 +362,17 @@
 {
   struct iv_job_exec *exec = candidate->exec;
   struct iv_task_name name = { .occurrence = occurrence->number, .step = stage->number };
-  struct iv_placement_query query
-      = make_query (owner, exec, &candidate->policy, stage, occurrence->number, now_ms);
+  struct iv_rack_choice choice;
+  struct iv_placement_query query = make_query (owner, exec, &candidate->policy, stage,
+                                                occurrence->number, now_ms, TRUE, &choice);
   g_strlcpy (name.job, exec->job->id, sizeof name.job);
+  if (stage->ready_ms == 0)
+    stage->ready_ms = now_ms;
   if (stage->step->flags & IVJ_GANG)
     dispatch_gang (owner, &query, exec, stage, &name);
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
+  iv_rack_note (owner, &choice, stage, exec->job->id);
   note_waiting (stage, &query);
 }
 
@@ -365,7 +387,10 @@
         {
           struct iv_stage *stage = &occurrence->stages[j];
           if (iv_stage_waiting (stage) == 0)
-            stage->waiting_since_ms = 0;
+            {
+              stage->waiting_since_ms = 0;
+              iv_wait_clear (&stage->wait, now_ms);
+            }
           else if (iv_stage_ready (occurrence, stage))
             dispatch_stage (owner, candidate, occurrence, stage, now_ms);
         }
@@ -380,6 +405,7 @@
     return;
   owner->needs_dispatch = FALSE;
   owner->start_credit = owner->effects.start_credit (owner->effects.context);
+  g_hash_table_remove_all (owner->rack_claims);
   candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   for (guint i = 0; i < owner->execs->len; i++)
     {
--- a/jobs/fleet.c
+++ b/jobs/fleet.c
@@ -201,9 +201,8 @@
   g_hash_table_remove (fleet->by_id, worker->id);
 }
 
-/* What a task of @a step reserves. */
-static struct iv_resources
-step_resources (const ivj_step *step)
+struct iv_resources
+iv_step_resources (const ivj_step *step)
 {
   return (struct iv_resources){ step->flags & IVJ_BEST_EFFORT ? 0 : step->cpu_milli, step->mem_mb,
                                 step->accelerators };
@@ -235,7 +234,7 @@
       worker->unsized_runs = (guint)((gint64)worker->unsized_runs + sign);
       return;
     }
-  resources = step_resources (step);
+  resources = iv_step_resources (step);
   add_resources (&worker->used, &resources, sign);
   if (step->flags & IVJ_BEST_EFFORT)
     worker->best_effort_cpu_milli += sign * step->cpu_milli;
@@ -340,7 +339,7 @@
 double
 iv_worker_shortage (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
-  struct iv_resources needed = step_resources (step);
+  struct iv_resources needed = iv_step_resources (step);
   const struct iv_resources *used = &worker->used;
   const struct iv_resources *capacity = &worker->capacity;
   double worst = shortage (needed.cpu_milli, used->cpu_milli, capacity->cpu_milli);
@@ -360,7 +359,7 @@
       if (run->step == NULL || run->phase == IV_RUN_PHASE_STOPPING
           || !(run->step->flags & IVJ_LONG_RUNNING))
         continue;
-      resources = step_resources (run->step);
+      resources = iv_step_resources (run->step);
       add_resources (&sum, &resources, 1);
     }
   return sum;
@@ -378,7 +377,7 @@
 iv_worker_can_hold (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
   struct iv_resources kept = long_running_resources (worker);
-  struct iv_resources needed = step_resources (step);
+  struct iv_resources needed = iv_step_resources (step);
   add_resources (&kept, &needed, 1);
   return is_within (&kept, &worker->capacity);
 }
@@ -403,15 +402,23 @@
 guint
 iv_worker_count_fitting (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
-  struct iv_resources needed = step_resources (step);
+  struct iv_resources needed = iv_step_resources (step);
   return worker->unsized_runs == 0 ? count_within (&needed, &worker->used, &worker->capacity) : 0;
 }
 
+guint
+iv_worker_count_beside (const struct iv_fleet_worker *worker, const ivj_step *step,
+                        const struct iv_resources *used)
+{
+  struct iv_resources needed = iv_step_resources (step);
+  return count_within (&needed, used, &worker->capacity);
+}
+
 guint
 iv_worker_count_holding (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
   struct iv_resources kept = long_running_resources (worker);
-  struct iv_resources needed = step_resources (step);
+  struct iv_resources needed = iv_step_resources (step);
   return count_within (&needed, &kept, &worker->capacity);
 }
 
@@ -419,6 +426,6 @@
 iv_worker_count_empty (const struct iv_fleet_worker *worker, const ivj_step *step)
 {
   static const struct iv_resources none;
-  struct iv_resources needed = step_resources (step);
+  struct iv_resources needed = iv_step_resources (step);
   return count_within (&needed, &none, &worker->capacity);
 }
--- a/jobs/fleet.h
+++ b/jobs/fleet.h
@@ -81,6 +81,11 @@
   gint64 over_target_since_ms;
   guint cpu_limit_percent;      /**< CPU limit in percent of full speed; 0: halted */
   guint cpu_limit_sent_percent; /**< the limit last sent to the worker */
+  guint64 length_key;           /**< kind of its task in the learnt durations */
+  gboolean resumed;             /**< it began from a checkpoint */
+  gint64 limit_since_ms;        /**< when the CPU limit was accounted for last; 0: never */
+  gint64 halted_ms;             /**< until then, time in which it was halted... */
+  gint64 throttled_ms;          /**< ...and in which it was throttled, but not halted */
 };
 
 /** What the roster says of a worker. */
@@ -238,6 +243,9 @@
 struct iv_run *iv_run_find (const struct iv_fleet_worker *worker, const struct iv_task_name *name,
                             gint64 number);
 
+/** What a task of @a step reserves; a best-effort task reserves no cores. */
+struct iv_resources iv_step_resources (const ivj_step *step);
+
 /** Release the resources of @a run and free it. */
 void iv_run_remove (struct iv_run *run);
 
@@ -265,6 +273,10 @@
  *  unknown size is left. */
 guint iv_worker_count_fitting (const struct iv_fleet_worker *worker, const ivj_step *step);
 
+/** The same if the runs there reserved @a used, and no run of unknown size were left. */
+guint iv_worker_count_beside (const struct iv_fleet_worker *worker, const ivj_step *step,
+                              const struct iv_resources *used);
+
 /** The same once the runs there that end by themselves, or are being stopped, have ended. */
 guint iv_worker_count_holding (const struct iv_fleet_worker *worker, const ivj_step *step);
 
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -73,6 +73,8 @@
       struct iv_stage *stage = &occurrence->stages[i];
       stage->step = &spec->steps.steps_val[i];
       stage->number = i;
+      stage->length_key = iv_task_lengths_key (stage->step->image, spec->host, spec->prefix,
+                                               stage->step->count, stage->step->cpu_milli);
       stage->tasks = g_new0 (struct iv_job_task, stage->step->count);
     }
   return occurrence;
@@ -90,6 +92,7 @@
           g_free (stage->tasks[j].failed_runs);
         }
       iv_advice_free (stage->advice);
+      g_free (stage->wait.place);
       g_free (stage->tasks);
     }
   g_free (occurrence->stages);
@@ -490,6 +493,16 @@
   return longest;
 }
 
+gint64
+iv_job_exec_expected_ms (const struct iv_job_exec *exec, const struct iv_stage *stage)
+{
+  gint64 estimate_ms = (gint64)stage->step->estimate_ms;
+  if (exec->lengths == NULL || (stage->step->flags & IVJ_LONG_RUNNING))
+    return estimate_ms;
+  return iv_task_lengths_quantile_ms (exec->lengths, stage->length_key, estimate_ms,
+                                      IV_TASK_LENGTHS_MEDIAN);
+}
+
 static gint64
 occurrence_left_ms (const struct iv_job_exec *exec, const struct iv_occurrence *occurrence)
 {
@@ -502,7 +515,7 @@
       for (guint j = 0; j < stage->step->depends.depends_len; j++)
         ends[i] = MAX (ends[i], ends[stage->step->depends.depends_val[j]]);
       if (!stage_ended (stage))
-        ends[i] += (gint64)stage->step->estimate_ms;
+        ends[i] += iv_job_exec_expected_ms (exec, stage);
       longest = MAX (longest, ends[i]);
     }
   return longest;
@@ -527,7 +540,7 @@
       for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
         {
           const struct iv_stage *stage = &occurrence->stages[j];
-          work += (gint64)stage->step->cpu_milli * (gint64)stage->step->estimate_ms
+          work += (gint64)stage->step->cpu_milli * iv_job_exec_expected_ms (exec, stage)
                   * (stage->step->count - stage->done - stage->away) / 1000;
         }
     }
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -7,6 +7,8 @@
 #define IV_JOB_EXEC_H
 
 #include "job_table.h"
+#include "place_wait.h"
+#include "task_lengths.h"
 
 /** A task that was delegated to a cell is returned when it has found no worker for this long: one
  * that is reserved for it becomes free in less, as batch tasks are short. */
@@ -41,11 +43,21 @@
   guint32 avoid_worker;      /**< handle of the worker on which it last failed; 0: none */
   gboolean runs_known;       /**< no previous owner can have started it, nor learn that it ended */
   char *checkpoint;          /**< to resume from; NULL: start from the beginning */
+  gint64 first_sent_ms;      /**< when this owner started or listed it first; 0: it has not */
   guint delegation_sent; /**< generation of its record that was sent, and not read yet; 0: none */
   /** Monotonic clock; it came to this cell lately, and is not delegated or returned earlier. */
   gint64 delegate_not_before_ms;
 };
 
+/** A wait of tasks for a preferred place: see waits.h. */
+struct iv_wait
+{
+  char *place; /**< NULL: they do not wait */
+  enum iv_place_kind kind;
+  gint64 since_ms;
+  gboolean fitted; /**< the place had room for all, and some did not start */
+};
+
 /** Execution state of one step in one occurrence. */
 struct iv_stage
 {
@@ -57,6 +69,11 @@
   gboolean runs_known;       /**< no previous owner can have started any of its tasks */
   gint64 waiting_since_ms;   /**< since when some of its tasks could not be placed; 0: none is */
   gint64 next_wait_log_ms;   /**< when to log next that they wait */
+  gint64 ready_ms;           /**< when it was first dispatched; 0: not yet */
+  struct iv_wait wait;       /**< for a preferred place */
+  guint64 length_key;        /**< kind of its tasks in the learnt durations */
+  guint rack_hash;           /**< of the rack of its first start; 0: there was none */
+  gboolean spread;           /**< its tasks were started in several racks */
   double baseline_tail_ms;   /**< tail latency of its latency-critical tasks without
                                 interference; 0: unknown */
   struct iv_advice *advice;  /**< tickets for its tasks; NULL: none were requested */
@@ -78,10 +95,11 @@
 {
   struct iv_job_entry *job;
   struct iv_owner *owner; /**< of the cell that runs the job; a host may own several cells */
-  gint guest_cell;        /**< the cell that tasks of the job were delegated to; -1: its own */
-  GPtrArray *open;        /**< of struct iv_occurrence, by ascending number */
-  guint opened;           /**< occurrences opened so far */
-  guint open_max;         /**< occurrences that may be open at once */
+  const struct iv_task_lengths *lengths; /**< learnt durations; NULL: estimates are used */
+  gint guest_cell; /**< the cell that tasks of the job were delegated to; -1: its own */
+  GPtrArray *open; /**< of struct iv_occurrence, by ascending number */
+  guint opened;    /**< occurrences opened so far */
+  guint open_max;  /**< occurrences that may be open at once */
   /** Occurrences that were closed since the newest record that is stored. The next owner opens them
    *  again, beside others only if it has room for all. */
   guint unstored_closes;
@@ -193,10 +211,14 @@
 /** Length of the critical path of @a spec by estimated run times, milliseconds. */
 gint64 iv_job_critical_path_ms (const ivj_job *spec);
 
+/** Expected duration of a task of @a stage, milliseconds: its estimate, or the median of what was
+ *  learnt. */
+gint64 iv_job_exec_expected_ms (const struct iv_job_exec *exec, const struct iv_stage *stage);
+
 /** Length of the longest remaining critical path among the open occurrences, milliseconds. */
 gint64 iv_job_exec_remaining_ms (const struct iv_job_exec *exec);
 
-/** Estimated work of the unfinished tasks of the open occurrences, core-milliseconds. */
+/** Expected work of the unfinished tasks of the open occurrences, core-milliseconds. */
 gint64 iv_job_exec_remaining_work (const struct iv_job_exec *exec);
 
 /** Cores, in thousandths, that the long-running steps of @a spec reserve; best-effort steps reserve
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -37,6 +37,8 @@
   owner->jobs = jobs;
   owner->fleet = iv_fleet_new (term);
   owner->model = iv_interference_new (&sharing_prior);
+  owner->lengths = limits->learn_lengths ? iv_task_lengths_new () : NULL;
+  owner->rack_claims = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->limits = *limits;
   owner->effects = *effects;
   owner->term = term;
@@ -76,6 +78,8 @@
   iv_job_table_foreach (owner->jobs, reset_live_state, owner);
   iv_fleet_free (owner->fleet);
   iv_interference_free (owner->model);
+  iv_task_lengths_free (owner->lengths);
+  g_hash_table_destroy (owner->rack_claims);
   g_hash_table_destroy (owner->unresolved);
   if (owner->advice_query.workers)
     g_array_free (owner->advice_query.workers, TRUE);
@@ -259,6 +263,7 @@
         return;
       exec = iv_job_exec_new (job, now_ms);
       exec->owner = owner;
+      exec->lengths = owner->lengths;
       exec->inherited = owner->loading_jobs;
       g_ptr_array_add (owner->execs, exec);
       iv_owner_set_objective (owner, exec);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -124,6 +124,10 @@
   gint64 capacity_max_age_ms;
   /** Tasks of a rack-local step take this much longer on several racks, in thousandths. */
   gint64 far_factor_milli;
+  /** Members of a gang that were started wait so long for the others; 0: without a bound. */
+  gint64 gang_wait_ms;
+  /** Learn durations of tasks; they replace estimates in the order of the queue and in waits. */
+  gboolean learn_lengths;
   /** Reserve capacity for the loss of a rack: other cells cannot take over long-running jobs. */
   gboolean spare_rack;
 };
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -8,6 +8,7 @@
 #include "event.h"
 #include "interference.h"
 #include "owner.h"
+#include "run_time.h"
 
 /** A start takes this long to arrive: failure domains are milliseconds apart. */
 #define IV_MIN_START_WINDOW_MS 100
@@ -44,6 +45,10 @@
   struct iv_job_table *jobs;
   struct iv_fleet *fleet;
   struct iv_interference *model; /**< of best-effort tasks with latency-critical ones */
+  struct iv_task_lengths *lengths; /**< learnt durations; NULL: none are learnt */
+  GHashTable *rack_claims; /**< from rack to gint64: cores that tasks ahead in the queue wait for */
+  struct iv_line_limit wait_lines;      /**< of waits for a place... */
+  struct iv_line_limit stage_end_lines; /**< ...and of steps that ended */
   struct iv_owner_limits limits;
   struct iv_owner_effects effects;
   gint64 term;
@@ -243,6 +248,7 @@
 {
   const struct iv_owner *owner;
   const struct iv_job_entry *job;
+  const struct iv_job_exec *exec;
   const struct iv_stage *stage;
   guint occurrence;
   const char *service;
@@ -300,6 +306,15 @@
 gboolean iv_place_may_become_feasible (const struct iv_fleet_worker *worker,
                                        const struct iv_placement_query *query);
 
+/** Whether @a worker can be used for the stage or will be, as far as it is known: it is listed, does
+ *  not drain, answers, and its failure domain is in service. */
+gboolean iv_place_is_there (const struct iv_fleet_worker *worker,
+                            const struct iv_placement_query *query);
+
+/** Whether nothing but its runs keeps the stage off @a worker: see iv_place_count_fitting(). */
+gboolean iv_place_is_candidate (const struct iv_fleet_worker *worker,
+                                const struct iv_placement_query *query);
+
 /** Number of tasks of the stage on @a worker. */
 guint iv_place_count_runs (const struct iv_fleet_worker *worker,
                            const struct iv_placement_query *query);
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -200,6 +200,46 @@
   return owner->previous_runs_known || number > owner->run_base || task->runs_known;
 }
 
+/* A task that ran away from its data, or whose step ran in several racks, took longer than others
+   of its kind will. */
+static gboolean
+ran_near (const struct iv_stage *stage, const struct iv_run *run)
+{
+  const ivj_step *step = stage->step;
+  return !(step->flags & IVJ_RACK_LOCAL && stage->spread)
+         && (*step->data_rack == '\0' || strcmp (step->data_rack, run->worker->rack) == 0);
+}
+
+static void
+learn_length (struct iv_owner *owner, const struct iv_stage *stage, struct iv_run *run,
+              gint64 now_ms)
+{
+  gint64 duration_ms = iv_run_time_clean_ms (run, now_ms);
+  if (owner->lengths && duration_ms >= 0 && ran_near (stage, run))
+    iv_task_lengths_add (owner->lengths, stage->length_key, duration_ms, now_ms);
+}
+
+/* What @a run, of @a task, tells when it is the last one of its stage. */
+static struct iv_stage_end
+measure_end (struct iv_owner *owner, const struct iv_job_exec *exec, const struct iv_stage *stage,
+             const struct iv_job_task *task, struct iv_run *run, gint64 now_ms)
+{
+  struct iv_stage_end end = { .ready_ms = stage->ready_ms,
+                              .first_sent_ms = task->first_sent_ms,
+                              .expected_ms = iv_job_exec_expected_ms (exec, stage),
+                              .count = stage->step->count };
+  iv_stage_end_set_run (&end, run, now_ms);
+  learn_length (owner, stage, run, now_ms);
+  return end;
+}
+
+/* Whether the stage ends with the next task that does: a gang ends with its first member. */
+static gboolean
+is_last (const struct iv_stage *stage)
+{
+  return stage->step->flags & IVJ_GANG || stage->done + 1 == stage->step->count;
+}
+
 static void
 handle_done (struct iv_owner *owner, struct iv_job_exec *exec, const struct iv_task_name *name,
              gboolean told_here_only, gint64 now_ms)
@@ -269,12 +309,20 @@
   struct iv_run *run = iv_run_find (worker, &end->name, end->number);
   gboolean was_known = run != NULL;
   struct iv_job_exec *exec = find_listed_exec (owner, &end->name);
-  struct iv_job_task *task = exec ? iv_job_exec_task (exec, &end->name, NULL) : NULL;
+  struct iv_stage *stage = NULL;
+  struct iv_job_task *task = exec ? iv_job_exec_task (exec, &end->name, &stage) : NULL;
+  struct iv_stage_end stage_end;
   if (end->reason != IV_END_DONE)
     iv_event (IV_LEVEL_INFO, "run.ended",
               "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s how=%s", end->name.job,
               end->name.occurrence, end->name.step, end->name.index, end->number, worker->id,
               end_names[end->reason]);
+  if (run && task && end->reason == IV_END_DONE && task->state != IV_JOB_TASK_DONE)
+    {
+      stage_end = measure_end (owner, exec, stage, task, run, now_ms);
+      if (is_last (stage) && !is_long_running (exec, &end->name))
+        iv_stage_end_log (&stage_end, &owner->stage_end_lines);
+    }
   if (run)
     iv_run_remove (run);
   owner->needs_dispatch = TRUE;
@@ -314,6 +362,9 @@
   const struct iv_job_task *suspect;
   run->phase = IV_RUN_PHASE_RUNNING;
   run->workload = iv_sharing_workload (owner, run->step);
+  run->length_key = stage ? stage->length_key : 0;
+  if (task && task->first_sent_ms == 0)
+    task->first_sent_ms = now_ms;
   if (task && stage && task->state == IV_JOB_TASK_WAITING)
     iv_owner_place_task (exec, stage, task, listed->number);
   if (task == NULL || task->placed_run != listed->number || listed->number < task->run)
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -57,7 +57,10 @@
 iv_place_start_deadline (const struct iv_fleet_worker *worker,
                          const struct iv_placement_query *query)
 {
-  gint64 expires = iv_worker_clock (worker, query->now_ms) + query->owner->start_window_ms;
+  gint64 gang_wait_ms
+      = query->stage->step->flags & IVJ_GANG ? query->owner->limits.gang_wait_ms : 0;
+  gint64 expires = iv_worker_clock (worker, query->now_ms)
+                   + iv_place_gang_window_ms (query->owner->start_window_ms, gang_wait_ms);
   gint64 valid_until = capacity_valid_until (worker, query);
   return MIN (expires, valid_until);
 }
@@ -219,12 +222,27 @@
   return max > 0 ? MAX (max, runs) - runs : G_MAXUINT;
 }
 
+gboolean
+iv_place_is_candidate (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return is_eligible (worker, query)
+         && !(iv_reserve_is_held (worker, query->now_ms)
+              && !is_reserved_within (worker, query->stage));
+}
+
+gboolean
+iv_place_is_there (const struct iv_fleet_worker *worker, const struct iv_placement_query *query)
+{
+  return worker->listed && !worker->draining && worker->failures == 0
+         && is_of_service (worker, query) && has_required_label (worker, query)
+         && is_in_service (worker, query);
+}
+
 guint
 iv_place_count_fitting (const struct iv_fleet_worker *worker,
                         const struct iv_placement_query *query)
 {
-  if (!is_eligible (worker, query)
-      || (iv_reserve_is_held (worker, query->now_ms) && !is_reserved_within (worker, query->stage)))
+  if (!iv_place_is_candidate (worker, query))
     return 0;
   return MIN (iv_worker_count_fitting (worker, query->stage->step),
               count_below_max (query, iv_place_count_runs (worker, query)));
--- a/jobs/sharing.c
+++ b/jobs/sharing.c
@@ -160,6 +160,8 @@
 static void
 set_cpu_limit (struct iv_owner *owner, struct iv_run *run, guint cpu_limit_percent, gint64 now_ms)
 {
+  if (run->cpu_limit_percent != cpu_limit_percent)
+    iv_run_time_note_limit (run, now_ms);
   if (run->cpu_limit_percent != 0 && cpu_limit_percent == 0)
     run->halted_since_ms = now_ms;
   run->cpu_limit_percent = cpu_limit_percent;
--- /dev/null
+++ b/sched/tests/place_wait_test.c
@@ -0,0 +1,1 @@
+int main (void) { return 0; }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -118,6 +118,8 @@
   gint64 evidence_max_age_ms; /**< no start if the operators' commands were last read longer ago */
   gint64 harm_ms; /**< longest time that best-effort tasks keep a tail latency over its target */
   gint64 far_factor_milli; /**< rack-local tasks on several racks take this much longer */
+  gint64 gang_wait_ms;     /**< members of a gang that were started wait so long for the others */
+  gint64 learn_lengths;    /**< whether durations of tasks are learnt, and used */
   gint64 contact_ms;       /**< time that the platform allows for a change to take effect */
   gint64 heartbeat_ms;     /**< interval at which a worker writes its entry */
   gint64 owner_timeout_ms; /**< an owner not confirmed by the store for this long resigns */
