--- a/jobs/rack.c
+++ b/jobs/rack.c
@@ -145,12 +145,12 @@
 static gint64
 rack_room_in_ms (const struct iv_placement_query *query, const struct rack *rack, guint tasks)
 {
-  guint claimed = count_claimed (query, rack);
-  if (rack->fits >= add_capped (tasks, claimed))
+  guint needed = iv_place_tasks_needed (tasks, count_claimed (query, rack), rack->fits);
+  if (rack->fits >= needed)
     return 0;
   if (rack->holds < holds_min (query->stage))
     return IV_PLACE_NEVER;
-  return room_in_ms (query, rack->workers, add_capped (tasks, claimed));
+  return room_in_ms (query, rack->workers, needed);
 }
 
 /* Time until @a tasks tasks of the stage, and those that wait for a rack ahead of it, have room
--- a/sched/place_wait.c
+++ b/sched/place_wait.c
@@ -156,6 +156,13 @@
   return confine (place->room_in_ms == 0 ? IV_PLACE_FITS : IV_PLACE_WAITS, place, latest);
 }
 
+guint
+iv_place_tasks_needed (guint tasks, guint ahead, guint takes)
+{
+  guint64 all = (guint64)tasks + ahead;
+  return (guint)MIN (G_MAXUINT, all <= takes ? all : all + ahead);
+}
+
 gint64
 iv_place_gang_window_ms (gint64 window_ms, gint64 gang_wait_ms)
 {
--- a/sched/place_wait.h
+++ b/sched/place_wait.h
@@ -88,6 +88,12 @@
  *  costs. The rule where no durations are learnt, and what the other is compared with. */
 struct iv_place_decision iv_place_wait_constant (const struct iv_place_query *query);
 
+/** For how many tasks a place must have room before @a tasks that come after @a ahead others can
+ *  start there, which takes @a takes tasks now. Those ahead count twice unless all fit: were each
+ *  to wait until it no longer pays, the wait would use up all that the place saves, as customers
+ *  who see a queue join it for too long (Naor 1969). */
+guint iv_place_tasks_needed (guint tasks, guint ahead, guint takes);
+
 /** How long the starts of one gang may be spread, where a start is valid for @a window_ms: a member
  *  that starts later than @a gang_wait_ms (0: no bound) finds that the others have given up. */
 gint64 iv_place_gang_window_ms (gint64 window_ms, gint64 gang_wait_ms);
