--- a/jobs/tests/waits_test.c
+++ b/jobs/tests/waits_test.c
@@ -150,6 +150,42 @@
   sim_free (sim);
 }
 
+/* Guards against one rack that more jobs want than it has room for: all of them wait for the same
+   workers, and most in vain. */
+static void
+test_few_wait_for_a_rack_that_many_want (void **state)
+{
+  struct sim *sim = start_cell (TRUE);
+  gint64 paid = count_waits ("data", "paid");
+  static const char *const ids[] = { "00000000000000c1", "00000000000000c2", "00000000000000c3",
+                                     "00000000000000c4", "00000000000000c5" };
+  guint elsewhere = 0;
+  guint near = 0;
+  fill (sim, 1500);
+  for (guint i = 3; i < sim->count; i++)
+    end_on (sim, i);
+  sim_advance (sim, SETTLE_MS);
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      make_tasks (1, TASK_MS);
+      sim_steps[0].data_rack = "r0";
+      sim_submit (sim, ids[i], &sim_spec);
+    }
+  sim_advance (sim, SETTLE_MS);
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    elsewhere += sim_job_runs (sim, ids[i]);
+  assert_int_equal (elsewhere, 3);
+  for (guint i = 0; i < 3; i++)
+    end_on (sim, i);
+  sim_advance (sim, SETTLE_MS);
+  for (guint i = 0; i < 3; i++)
+    for (guint j = 0; j < G_N_ELEMENTS (ids); j++)
+      near += sim_worker_runs (sim, i, ids[j]);
+  assert_int_equal (near, 2);
+  assert_int_equal (count_waits ("data", "paid") - paid, 2);
+  sim_free (sim);
+}
+
 static void
 cut_domain (struct sim *sim)
 {
@@ -449,6 +485,7 @@
     cmocka_unit_test (test_task_waits_for_the_rack_of_its_data),
     cmocka_unit_test (test_task_does_not_wait_for_long_runs),
     cmocka_unit_test (test_wait_for_data_is_bounded),
+    cmocka_unit_test (test_few_wait_for_a_rack_that_many_want),
     cmocka_unit_test (test_wait_ends_with_its_place),
     cmocka_unit_test (test_gang_waits_for_one_rack),
     cmocka_unit_test (test_durations_are_learnt_from_ended_runs),
--- a/settings/tests/settings_test.c
+++ b/settings/tests/settings_test.c
@@ -46,6 +46,7 @@
   assert_int_equal (settings.scheduling.lease_ms, 6000);
   assert_int_equal (settings.routing.retry_percent, 10);
   assert_int_equal (settings.members->len, 2);
+  assert_int_equal (settings.fleet.learn_lengths, 0);
   iv_document_free (document);
   iv_findings_free (findings);
 }
