--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -44,7 +44,7 @@
 {
   struct iv_job_table *jobs;
   struct iv_fleet *fleet;
-  struct iv_interference *model; /**< of best-effort tasks with latency-critical ones */
+  struct iv_interference *model;   /**< of best-effort tasks with latency-critical ones */
   struct iv_task_lengths *lengths; /**< learnt durations; NULL: none are learnt */
   GHashTable *rack_claims; /**< from rack to gint64: cores that tasks ahead in the queue wait for */
   struct iv_line_limit wait_lines;      /**< of waits for a place... */
@@ -306,8 +306,8 @@
 gboolean iv_place_may_become_feasible (const struct iv_fleet_worker *worker,
                                        const struct iv_placement_query *query);
 
-/** Whether @a worker can be used for the stage or will be, as far as it is known: it is listed, does
- *  not drain, answers, and its failure domain is in service. */
+/** Whether @a worker can be used for the stage or will be, as far as it is known: it is listed,
+ * does not drain, answers, and its failure domain is in service. */
 gboolean iv_place_is_there (const struct iv_fleet_worker *worker,
                             const struct iv_placement_query *query);
 
--- a/sched/task_lengths.c
+++ b/sched/task_lengths.c
@@ -59,14 +59,14 @@
 static XXH64_hash_t
 hash_text (const char *text, XXH64_hash_t seed)
 {
-  return XXH3_64bits_withSeed (text, strlen (text), seed);
+  return text ? XXH3_64bits_withSeed (text, strlen (text), seed) : seed;
 }
 
 guint64
 iv_task_lengths_key (const char *image, const char *host, const char *prefix, guint count,
                      guint cpu_milli)
 {
-  if (*image)
+  if (image && *image)
     return hash_text (image, 0);
   return hash_text (prefix, hash_text (host, 1 + size_class (count) * 64 + size_class (cpu_milli)));
 }
--- a/sched/task_lengths.h
+++ b/sched/task_lengths.h
@@ -22,7 +22,8 @@
 void iv_task_lengths_free (struct iv_task_lengths *lengths);
 
 /** The kind of the tasks of a step: those with the same @a image, or, where that is empty, those of
- *  the same queue (@a host and @a prefix) with about as many tasks and cores. */
+ *  the same queue (@a host and @a prefix) with about as many tasks and cores. NULL counts as empty.
+ */
 guint64 iv_task_lengths_key (const char *image, const char *host, const char *prefix, guint count,
                              guint cpu_milli);
 
