--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -273,10 +273,9 @@
 static gboolean
 goes_back (const struct iv_cap_row *row, const struct iv_cap_row *last)
 {
-  if (last == NULL)
+  /* Another layout begins with new counters. */
+  if (last == NULL || row->cells != last->cells)
     return FALSE;
-  if (row->cells != last->cells)
-    return TRUE;
   for (guint i = 0; i < row->cells; i++)
     if (row->given[i] < last->given[i])
       return TRUE;
@@ -860,22 +859,45 @@
   g_free (change->value);
 }
 
+/* Whether nothing is in use, wanted or asked for. */
+static gboolean
+is_idle (const struct iv_cap_parts *parts, const struct part *part, gint64 now_ms)
+{
+  if (!is_zero (&part->used) || !is_zero (&part->wanted) || part->ticket > 0)
+    return FALSE;
+  for (guint i = 0; i < parts->cells; i++)
+    if (request_is_live (parts, part, i, now_ms))
+      return FALSE;
+  return TRUE;
+}
+
+/* Decides what to ask for. Returns the fraction that this cell keeps. */
+static gint64
+decide (const struct iv_cap_parts *parts, struct part *part, struct view *view, gint64 now_ms)
+{
+  struct iv_resources excess = find_excess (parts, part, now_ms);
+  find_view (parts, part, view, &excess, now_ms);
+  update_ticket (parts, part, view, now_ms);
+  view->need[parts->cell] = find_need (part, &excess);
+  find_winner (parts, part, view);
+  update_hold (parts, part, view);
+  return find_keep (parts, view);
+}
+
 /* Returns whether a record was queued. */
 static gboolean
 step_part (struct iv_cap_parts *parts, struct part *part, gint64 now_ms, gboolean may_queue,
            iv_cap_change_fn emit, void *context)
 {
   struct iv_cap_change change = { 0 };
-  struct iv_resources excess = find_excess (parts, part, now_ms);
   struct iv_cap_row row;
-  struct view view;
-  gint64 keep;
-  find_view (parts, part, &view, &excess, now_ms);
-  update_ticket (parts, part, &view, now_ms);
-  view.need[parts->cell] = find_need (part, &excess);
-  find_winner (parts, part, &view);
-  keep = find_keep (parts, &view);
-  update_hold (parts, part, &view);
+  struct view view = { 0 };
+  gint64 keep = 0;
+  part->hold = IV_CAP_WHOLE;
+  if (is_idle (parts, part, now_ms))
+    part->stalled_since_ms = 0;
+  else
+    keep = decide (parts, part, &view, now_ms);
   if (!may_queue || !may_write (part, now_ms))
     return FALSE;
   if (is_limited (&part->cap))
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -769,8 +770,14 @@
   ++*(guint *)context;
 }
 
+static gint64
+cpu_time_us (void)
+{
+  return (gint64)clock () * 1000000 / CLOCKS_PER_SEC;
+}
+
 /* Guards against a step that takes more than a twentieth of a core with 2,000 workspaces, at one
-   step in 100 ms, and against more records in a step than an append should hold. */
+   step in 50 ms, and against more records in a step than an append should hold. */
 static void
 test_cost_of_many_workspaces (void **state)
 {
@@ -789,7 +796,7 @@
           g_free (name);
         }
       iv_cap_parts_configure (parts, workspaces, 1, 0);
-      begin_us = g_get_monotonic_time ();
+      begin_us = cpu_time_us ();
       for (guint step = 0; step < 100; step++)
         {
           guint changes = 0;
@@ -797,8 +804,8 @@
           assert_true (changes <= 64);
         }
       print_message ("%u workspaces: %" G_GINT64_FORMAT " us a step\n", counts[i],
-                     (g_get_monotonic_time () - begin_us) / 100);
-      assert_true (g_get_monotonic_time () - begin_us < 100 * 5000);
+                     (cpu_time_us () - begin_us) / 100);
+      assert_true (cpu_time_us () - begin_us < 100 * 2500);
       iv_cap_parts_free (parts);
       iv_cap_rows_free (rows);
       iv_workspaces_free (workspaces);
