--- a/daemon/cap_task.c
+++ b/daemon/cap_task.c
@@ -209,12 +209,20 @@
   return account;
 }
 
+static gboolean
+limits_equal (const struct iv_cap_limit *a, const struct iv_cap_limit *b)
+{
+  return a->limited == b->limited && a->max.cpu_milli == b->max.cpu_milli
+         && a->max.mem_mb == b->max.mem_mb && a->max.accelerators == b->max.accelerators
+         && a->may_exceed_by_one == b->may_exceed_by_one;
+}
+
 static void
 log_part (const struct iv_cap_task *task, struct account *account,
           const struct iv_cap_change *change)
 {
   const struct iv_cap_limit *limit = &change->limit;
-  if (task->now_ms < account->next_log_ms || memcmp (&account->logged, limit, sizeof *limit) == 0)
+  if (task->now_ms < account->next_log_ms || limits_equal (&account->logged, limit))
     return;
   account->next_log_ms = task->now_ms + LOG_INTERVAL_MS;
   account->logged = *limit;
--- a/daemon/tests/cap_task_test.c
+++ b/daemon/tests/cap_task_test.c
@@ -15,7 +15,7 @@
 #define TOPIC "keyed.jobs"
 #define NAME "alpha"
 #define TIMEOUT_MS 5000 /* of a test that does not progress; no test waits for it to pass */
-#define MOVED_MS 2000    /* room that is not needed in one cell is usable in another by then */
+#define MOVED_MS 2000   /* room that is not needed in one cell is usable in another by then */
 #define SILENCE_MS 10000
 
 static uv_loop_t *loop;
@@ -263,13 +263,13 @@
 static void
 test_odd_keys (void **state)
 {
-  static const char *const keys[] = { "cap/", "cap/x/1", "cap/24/1", "cap/1", "cap/-1/1", "cap/1/" };
+  static const char *const keys[]
+      = { "cap/", "cap/x/1", "cap/24/1", "cap/1", "cap/-1/1", "cap/1/" };
   struct iv_cap_row row = { .cells = 2 };
   char *value = iv_cap_row_format (NAME, &row);
   for (guint i = 0; i < G_N_ELEMENTS (keys); i++)
-    assert_int_equal (
-        iv_cap_task_apply (rows, keys[i], (const guint8 *)value, strlen (value), 0),
-        IV_ERR_INVALID);
+    assert_int_equal (iv_cap_task_apply (rows, keys[i], (const guint8 *)value, strlen (value), 0),
+                      IV_ERR_INVALID);
   assert_int_equal (iv_cap_task_apply (rows, "cap/1/x", NULL, 0, 0), IV_OK);
   assert_int_equal (iv_cap_rows_applied (rows), 0);
   g_free (value);
