--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -85,12 +85,12 @@
   return fields[index];
 }
 
-/* a * b / c. */
+/* a * b / c; 0 when c is. */
 static gint64
 scale (gint64 a, gint64 b, gint64 c, gboolean round_up)
 {
   __int128 product = (__int128)a * b + (round_up ? c - 1 : 0);
-  __int128 result = product / c;
+  __int128 result = c == 0 ? 0 : product / c;
   return result > AMOUNT_MAX ? AMOUNT_MAX : (gint64)result;
 }
 
@@ -291,7 +291,7 @@
   char *expected = NULL;
   char *name;
   enum iv_status status = iv_cap_row_parse (value, len, &row, &name);
-  if (status != IV_OK)
+  if (status != IV_OK || name == NULL)
     return status;
   expected = iv_cap_digest (name);
   if (strcmp (expected, digest) != 0 || cell >= row.cells)
@@ -302,7 +302,7 @@
     status = iv_fail (IV_ERR_INVALID, "a cell takes back what it has given");
   g_free (expected);
   g_free (name);
-  if (status != IV_OK)
+  if (status != IV_OK || found == NULL)
     return status;
   if (found->cells[cell] == NULL)
     found->cells[cell] = g_new (struct iv_cap_row, 1);
@@ -353,7 +353,7 @@
 static const struct iv_cap_row *
 row_of (const struct iv_cap_parts *parts, const struct part *part, guint cell)
 {
-  const struct iv_cap_row *row = part->rows->cells[cell];
+  const struct iv_cap_row *row = part->rows ? part->rows->cells[cell] : NULL;
   return row && row->cells == parts->cells ? row : NULL;
 }
 
