Choose the cell of a batch job in its owner, not when it is accepted

Read from the code, not traced in a log: two hosts may accept the same job (a caller repeats a request), each with a cell of its choice. Hosts that read the records in order keep the first, hosts that load the newest record of each key get the last, so two cells may take the job for theirs. Change: the record names no cell any more; the owner of the job's own cell moves it when it first reads it, by a move record, as for long-running jobs. Not measured yet.

--- a/bench/workspaces_bench.c
+++ b/bench/workspaces_bench.c
@@ -105,7 +105,7 @@
       g_snprintf (id, sizeof id, "%016x", i);
       if (cell->workspaces > 0)
         g_snprintf (workspace, sizeof workspace, "workspace-%u", i % cell->workspaces);
-      bytes = iv_job_encode_spec (&spec, workspace, -1);
+      bytes = iv_job_encode_spec (&spec, workspace);
       iv_job_table_apply (cell->jobs, id, bytes->data, bytes->len);
       g_byte_array_free (bytes, TRUE);
     }
--- a/daemon/cell_loads.c
+++ b/daemon/cell_loads.c
@@ -8,8 +8,8 @@
    may be moving there at the same time. */
 #define MOVE_CAPACITY_FACTOR 3
 
-/* A job that is accepted stays in the cell of its id when that has this share of the mean free
-   capacity: cells differ by chance, and a choice costs bytes that every host reads. */
+/* A new job stays in its cell when that has this share of the mean free capacity: cells differ by
+   chance, and a move takes about 100 ms. */
 #define STAY_MIN_PERCENT 75
 
 /* Free capacity of a cell, and the time when its record was applied. */
@@ -267,16 +267,6 @@
   return cell;
 }
 
-static guint
-freest_cell (const gint64 free_milli[IV_CELLS_MAX])
-{
-  guint best = 0;
-  for (guint i = 1; i < IV_CELLS_MAX; i++)
-    if (free_milli[i] > free_milli[best])
-      best = i;
-  return best;
-}
-
 guint
 iv_cell_loads_choose (struct iv_cell_loads *loads, guint cell, const struct iv_move_needs *needs,
                       double draw, gint64 now_ms)
@@ -288,8 +278,7 @@
   if (!is_recent (&loads->cells[cell], now_ms) || recent < 2)
     return cell;
   if (sum > 0 && free_milli[cell] * recent * 100 < sum * STAY_MIN_PERCENT)
-    chosen = needs->kind == IV_CAPACITY_LONG_RUNNING ? freest_cell (free_milli)
-                                                     : draw_cell (free_milli, sum, draw);
+    chosen = draw_cell (free_milli, sum, draw);
   reserve_capacity (&loads->cells[chosen], needs->cpu_milli);
   return chosen;
 }
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -3,6 +3,7 @@
 #include "authority.h"
 #include "cell_loads.h"
 #include "clock.h"
+#include "counter.h"
 #include "event.h"
 #include "names.h"
 
@@ -182,6 +183,18 @@
   return task->deps.find_move_target (task->deps.context, task->cell, needs);
 }
 
+static guint
+choose_cell (void *context, const struct iv_move_needs *needs, double draw)
+{
+  struct iv_cell_task *task = context;
+  guint chosen = task->deps.choose_cell (task->deps.context, task->cell, needs, draw);
+  iv_counter_add (iv_counter_get ("ibisvane_cells_chosen_total",
+                                  chosen == task->cell ? "choice=\"own\"" : "choice=\"other\"",
+                                  "Cells chosen for new batch jobs."),
+                  1);
+  return chosen;
+}
+
 static gint
 find_delegate (void *context, const char *service, const ivj_step *step)
 {
@@ -647,6 +660,7 @@
                                       .owns_job = owns_job,
                                       .cell = (gint)task->cell,
                                       .find_move_target = find_move_target,
+                                      .choose_cell = settings->choose_cell ? choose_cell : NULL,
                                       .find_delegate = find_delegate,
                                       .record_delegation = record_delegation,
                                       .count_elsewhere = count_elsewhere,
--- a/daemon/cell_task.h
+++ b/daemon/cell_task.h
@@ -40,6 +40,8 @@
   gboolean (*is_idle) (void *context);
   /** A cell other than @a cell for a job with needs @a needs; -1: none. */
   gint (*find_move_target) (void *context, guint cell, const struct iv_move_needs *needs);
+  /** The cell for a new job of @a cell: see struct iv_owner_effects. */
+  guint (*choose_cell) (void *context, guint cell, const struct iv_move_needs *needs, double draw);
   /** A cell other than @a cell that could hold a task of @a step; -1: none. */
   gint (*find_delegate) (void *context, guint cell, const char *service, const ivj_step *step);
   /** Number of tasks with need @a need that the largest pieces of the cells but @a cell hold. */
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -142,48 +142,11 @@
   return iv_cell_loads_admit (app->loads, iv_job_long_running_milli (&job->spec), now_ms (app));
 }
 
-/* What the tasks of the first step of @a spec need: those that wait first. */
-static gint64
-first_need (const ivj_job *spec, enum iv_capacity_kind *kind)
-{
-  const ivj_step *step = &spec->steps.steps_val[0];
-  gint64 long_running_milli = iv_job_long_running_milli (spec);
-  *kind = IV_CAPACITY_LONG_RUNNING;
-  if (long_running_milli > 0)
-    return long_running_milli;
-  *kind = step->flags & IVJ_BEST_EFFORT ? IV_CAPACITY_BEST_EFFORT : IV_CAPACITY_BATCH;
-  return (gint64)step->cpu_milli * step->count;
-}
-
-static gint
-choose_cell (void *context, const struct iv_job_entry *job, const char *service)
+static guint
+choose_cell (void *context, guint cell, const struct iv_move_needs *needs, double draw)
 {
   struct iv_fleet_app *app = context;
-  const struct iv_layout *layout = get_layout (app);
-  const ivj_job *spec = &job->spec;
-  struct iv_move_needs needs = { .service = service };
-  guint cell;
-  guint chosen;
-  if (!app->settings->fleet.choose_cell || layout == NULL || iv_layout_cells (layout) < 2
-      || iv_layout_names_rack (layout, spec))
-    return -1;
-  cell = iv_layout_job_cell (layout, job);
-  needs.cpu_milli = first_need (spec, &needs.kind);
-  needs.steps = g_ptr_array_new ();
-  for (guint i = 0; i < spec->steps.steps_len; i++)
-    g_ptr_array_add (needs.steps, &spec->steps.steps_val[i]);
-  chosen
-      = iv_cell_loads_choose (app->loads, cell, &needs, iv_layout_job_draw (job->id), now_ms (app));
-  g_ptr_array_unref (needs.steps);
-  iv_counter_add (iv_counter_get ("ibisvane_cells_chosen_total",
-                                  chosen == cell ? "choice=\"own\"" : "choice=\"other\"",
-                                  "Cells chosen for accepted jobs."),
-                  1);
-  if (chosen == cell)
-    return -1;
-  iv_event (IV_LEVEL_DEBUG, "job.cell_chosen", "job=%s from=%u to=%u need_milli=%" G_GINT64_FORMAT,
-            job->id, cell, chosen, needs.cpu_milli);
-  return (gint)chosen;
+  return iv_cell_loads_choose (app->loads, cell, needs, draw, now_ms (app));
 }
 
 static void
@@ -472,6 +435,7 @@
                                     .is_domain_in_service = is_domain_in_service,
                                     .is_idle = is_idle,
                                     .find_move_target = find_move_target,
+                                    .choose_cell = choose_cell,
                                     .find_delegate = find_delegate,
                                     .count_elsewhere = count_elsewhere };
   app->worker_limits = iv_call_limits_new ();
@@ -494,8 +458,7 @@
                                      .context = app,
                                      .routes = get_routes,
                                      .config_age_ms = config_age_ms,
-                                     .has_capacity = has_capacity,
-                                     .choose_cell = choose_cell };
+                                     .has_capacity = has_capacity };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
   deps.recorder = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1,
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -250,17 +250,6 @@
   g_free (key);
 }
 
-static gint
-choose_cell (const struct iv_front_task *task, const char *id, const ivj_job *spec,
-             const char *service)
-{
-  struct iv_job_entry job = { .spec = *spec, .moved_to = -1, .chosen_cell = -1 };
-  if (task->deps.choose_cell == NULL)
-    return -1;
-  g_strlcpy (job.id, id, sizeof job.id);
-  return task->deps.choose_cell (task->deps.context, &job, service);
-}
-
 static void
 store_job (struct iv_front_task *task, struct iv_http_request *request,
            const struct iv_access_caller *caller, const char *id, const struct iv_route *route,
@@ -273,7 +262,7 @@
   job->host = strdup (route->host);
   job->prefix = strdup (route->prefix);
   job->accepted_ms = iv_clock_wall_ms ();
-  bytes = iv_job_encode_spec (job, caller->workspace, choose_cell (task, id, job, route->service));
+  bytes = iv_job_encode_spec (job, caller->workspace);
   if (bytes == NULL)
     {
       reject (request, 413, id, "the job is too large");
@@ -290,8 +279,7 @@
 has_capacity (const struct iv_front_task *task, const struct iv_access_caller *caller,
               const char *id, const ivj_job *spec)
 {
-  struct iv_job_entry job
-      = { .spec = *spec, .moved_to = -1, .chosen_cell = -1, .workspace = caller->workspace };
+  struct iv_job_entry job = { .spec = *spec, .moved_to = -1, .workspace = caller->workspace };
   g_strlcpy (job.id, id, sizeof job.id);
   return task->deps.has_capacity (task->deps.context, &job);
 }
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -35,9 +35,6 @@
   gint64 (*config_age_ms) (void *context);
   /** Whether a cell has capacity for the long-running tasks of @a job, not accepted yet. */
   gboolean (*has_capacity) (void *context, const struct iv_job_entry *job);
-  /** Cell for @a job, not accepted yet, which belongs to the queue with service @a service; -1: the
-   *  layout assigns one. NULL: it always does. */
-  gint (*choose_cell) (void *context, const struct iv_job_entry *job, const char *service);
 };
 
 /** The API's servers and pending requests. */
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -85,7 +85,6 @@
   job = g_new0 (struct iv_job_entry, 1);
   g_strlcpy (job->id, id, sizeof job->id);
   job->moved_to = -1;
-  job->chosen_cell = -1;
   job->workspace = g_intern_static_string ("");
   g_hash_table_insert (table->jobs, job->id, job);
   return job;
@@ -138,12 +137,11 @@
   return IV_OK;
 }
 
-/* Decodes a job alone, or one with its workspace and cell; `workspace` is NULL for a job alone. */
+/* Decodes a job alone, or one with its workspace; `workspace` is NULL for a job alone. */
 static enum iv_status
 decode_spec (const guint8 *value, gsize len, ivj_job_record *record)
 {
   enum iv_status status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job, value, len, &record->job);
-  record->cell = -1;
   if (status == IV_OK)
     return IV_OK;
   memset (record, 0, sizeof *record);
@@ -202,7 +200,6 @@
   job->spec = record.job;
   job->workspace = g_intern_string (record.workspace ? record.workspace : "");
   free (record.workspace);
-  job->chosen_cell = record.cell;
   job->accepted = TRUE;
   add_arrival (table, job);
   return IV_OK;
@@ -386,10 +383,10 @@
 }
 
 GByteArray *
-iv_job_encode_spec (const ivj_job *spec, const char *workspace, gint cell)
+iv_job_encode_spec (const ivj_job *spec, const char *workspace)
 {
-  const ivj_job_record record = { *spec, (char *)workspace, cell };
-  if (*workspace == '\0' && cell < 0)
+  const ivj_job_record record = { *spec, (char *)workspace };
+  if (*workspace == '\0')
     return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, spec, IV_RECORD_MAX_BYTES);
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job_record, &record, IV_RECORD_MAX_BYTES);
 }
@@ -402,5 +399,5 @@
   if (!iv_job_state_is_final (job->live_state) || strlen (job->spec.spec) <= SPEC_KEPT_BYTES)
     return NULL;
   ended.spec = no_text;
-  return iv_job_encode_spec (&ended, job->workspace, job->chosen_cell);
+  return iv_job_encode_spec (&ended, job->workspace);
 }
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -47,9 +47,6 @@
   gboolean cancel;   /**< a cancellation was recorded */
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
-  /** Cell that was chosen when it was accepted; -1: the layout assigns one. A part of the record of
-   *  the job, so that hosts that accept the same job at the same time agree on one. */
-  gint chosen_cell;
   const char *workspace;     /**< that it was accepted for, interned; "" when it has none */
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
@@ -115,10 +112,9 @@
  *  limit or a step depends on a later one. */
 enum iv_status iv_job_validate (const ivj_job *spec);
 
-/** Record of the id of a job: @a spec, the workspace that it was accepted for ("": none) and the
- * cell that was chosen for it (-1: none). NULL when it is too large. Free with g_byte_array_free().
- */
-GByteArray *iv_job_encode_spec (const ivj_job *spec, const char *workspace, gint cell);
+/** Record of the id of a job: @a spec, and the workspace that it was accepted for ("": none). NULL
+ *  when it is too large. Free with g_byte_array_free(). */
+GByteArray *iv_job_encode_spec (const ivj_job *spec, const char *workspace);
 
 /** Record of the id of a job that has ended, without the specification that its tasks were started
  *  with: hosts that restart read all jobs of the retention time. To be stored with its final
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -55,12 +55,10 @@
   hyper accepted_ms;
 };
 
-/* A job of a workspace, or with a cell that was chosen for it. A job with neither is stored as an
-   ivj_job alone, as by earlier releases. */
+/* A job of a workspace. A job without one is stored as an ivj_job alone, as by earlier releases. */
 struct ivj_job_record {
   ivj_job job;
   string workspace<IVJ_TEXT_MAX>;
-  int cell; /* -1: none was chosen */
 };
 
 /* Policy of a queue, for its jobs when the configuration names it no more. */
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -190,8 +190,6 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->workspace, IVJ_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->cell))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -88,7 +88,6 @@
 struct ivj_job_record {
 	ivj_job job;
 	char *workspace;
-	int cell;
 };
 typedef struct ivj_job_record ivj_job_record;
 
--- a/jobs/layout.c
+++ b/jobs/layout.c
@@ -206,12 +206,6 @@
   return -1;
 }
 
-gboolean
-iv_layout_names_rack (const struct iv_layout *layout, const ivj_job *spec)
-{
-  return cell_by_rack (layout, spec) >= 0;
-}
-
 double
 iv_layout_job_draw (const char *id)
 {
@@ -227,8 +221,5 @@
   if (job->moved_to >= 0)
     return (guint)job->moved_to % layout->cells;
   cell = cell_by_rack (layout, &job->spec);
-  if (cell >= 0)
-    return (guint)cell;
-  return job->chosen_cell >= 0 ? (guint)job->chosen_cell % layout->cells
-                               : cell_by_job_id (layout, job->id);
+  return cell >= 0 ? (guint)cell : cell_by_job_id (layout, job->id);
 }
--- a/jobs/layout.h
+++ b/jobs/layout.h
@@ -47,14 +47,11 @@
  *  name. */
 guint iv_layout_worker_cell (const struct iv_layout *layout, const char *rack);
 
-/** Whether a step of @a spec requests a rack that the layout knows. */
-gboolean iv_layout_names_rack (const struct iv_layout *layout, const ivj_job *spec);
-
 /** A number from 0 to below 1 that follows from the id of a job, and not from its cell. */
 double iv_layout_job_draw (const char *id);
 
-/** Cell of @a job: the one that it was moved to, else that of a rack that it requests, else the one
- *  that was chosen when it was accepted, else one by its id. */
+/** Cell of @a job: the one that it was moved to, else that of a rack that it requests, else one by
+ *  its id. */
 guint iv_layout_job_cell (const struct iv_layout *layout, const struct iv_job_entry *job);
 
 #endif
--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -1,6 +1,7 @@
 #include "owner_private.h"
 
 #include "event.h"
+#include "layout.h"
 
 #define MOVES_INTERVAL_MS 100
 #define MOVE_AFTER_MS 150         /* of waiting for capacity: a move takes about 100 ms */
@@ -109,6 +110,50 @@
   return cell;
 }
 
+/* What the tasks of the first step of a batch job need: those that start first. */
+static gint64
+first_need_milli (const ivj_job *spec, enum iv_capacity_kind *kind)
+{
+  const ivj_step *step = &spec->steps.steps_val[0];
+  *kind = step->flags & IVJ_BEST_EFFORT ? IV_CAPACITY_BEST_EFFORT : IV_CAPACITY_BATCH;
+  return (gint64)step->cpu_milli * step->count;
+}
+
+/* Whether a step of the job names a rack: the layout tells where it belongs. */
+static gboolean
+names_rack (const ivj_job *spec)
+{
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    if (*spec->steps.steps_val[i].data_rack || *spec->steps.steps_val[i].label)
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+iv_owner_balance_batch (struct iv_owner *owner, struct iv_job_exec *exec)
+{
+  const ivj_job *spec = &exec->job->spec;
+  struct iv_move_needs needs = { 0 };
+  struct iv_queue_policy policy;
+  guint cell = (guint)owner->effects.cell;
+  if (owner->effects.choose_cell == NULL || exec->job->moved_to >= 0 || !is_unstarted (owner, exec)
+      || iv_job_is_long_running (spec) || names_rack (spec)
+      || !owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &policy))
+    return FALSE;
+  needs.service = policy.service;
+  needs.cpu_milli = first_need_milli (spec, &needs.kind);
+  needs.steps = g_ptr_array_new ();
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    g_ptr_array_add (needs.steps, &spec->steps.steps_val[i]);
+  cell = owner->effects.choose_cell (owner->effects.context, &needs,
+                                     iv_layout_job_draw (exec->job->id));
+  g_ptr_array_unref (needs.steps);
+  if (cell == (guint)owner->effects.cell)
+    return FALSE;
+  move_to_cell (owner, exec, cell);
+  return TRUE;
+}
+
 /* Moves the job to a cell with free capacity for @a need_milli. FALSE when there is none. */
 static gboolean
 try_move (struct iv_owner *owner, struct iv_job_exec *exec, gint64 need_milli,
@@ -336,7 +381,7 @@
 gboolean
 iv_owner_balance_long_running (struct iv_owner *owner, struct iv_job_exec *exec)
 {
-  return exec->job->moved_to < 0 && exec->job->chosen_cell < 0 && is_unstarted (owner, exec)
+  return exec->job->moved_to < 0 && is_unstarted (owner, exec)
          && try_move (owner, exec, iv_job_long_running_milli (&exec->job->spec),
                       IV_CAPACITY_LONG_RUNNING);
 }
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -280,7 +280,8 @@
       g_ptr_array_add (owner->execs, exec);
       iv_owner_set_objective (owner, exec);
       owner->needs_dispatch = TRUE;
-      if (!job->cancel && iv_owner_balance_long_running (owner, exec))
+      if (!job->cancel
+          && (iv_owner_balance_long_running (owner, exec) || iv_owner_balance_batch (owner, exec)))
         return;
     }
   iv_job_exec_apply_delegations (exec, now_ms);
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -201,6 +201,10 @@
   /** Another cell that can hold what @a needs tells, and has much more free capacity than that; -1:
    *  none. */
   gint (*find_move_target) (void *context, const struct iv_move_needs *needs);
+  /** The cell in which a new job of this cell with needs @a needs is to run, by what the cells have
+   *  free; @a draw, from 0 to below 1, spreads jobs. This cell when nothing tells otherwise. NULL:
+   *  new jobs stay. */
+  guint (*choose_cell) (void *context, const struct iv_move_needs *needs, double draw);
   /** Number of tasks with need @a need that the largest pieces of other cells hold. */
   guint (*count_elsewhere) (void *context, const struct iv_piece *need);
   /** A cell that could hold a task of @a step in one of its pieces; -1: none. The piece counts as
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -271,6 +271,10 @@
  *  was moved. */
 gboolean iv_owner_balance_long_running (struct iv_owner *owner, struct iv_job_exec *exec);
 
+/** Move a new batch job to a cell with more free capacity, before any task of it has started. TRUE
+ *  when it was moved. */
+gboolean iv_owner_balance_batch (struct iv_owner *owner, struct iv_job_exec *exec);
+
 /** Follow the delegations of @a job, which belongs to another cell: run the tasks that are
  * delegated to this one. delegate.c. */
 void iv_owner_guests_changed (struct iv_owner *owner, struct iv_job_entry *job, gint64 now_ms);
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -571,7 +571,7 @@
 void
 sim_submit_for (struct sim *sim, const char *workspace, const char *id, const ivj_job *spec)
 {
-  GByteArray *bytes = iv_job_encode_spec (spec, workspace, -1);
+  GByteArray *bytes = iv_job_encode_spec (spec, workspace);
   iv_job_table_apply (sim->job_table, id, bytes->data, bytes->len);
   g_byte_array_free (bytes, TRUE);
   if (sim->owner)
--- a/jobs/tests/layout_test.c
+++ b/jobs/tests/layout_test.c
@@ -70,7 +70,7 @@
 {
   struct iv_layout *layout = build_layout (make_racks (3, 14, 12), 80);
   ivj_step step = { .count = 1, .label = "", .data_rack = "", .image = "" };
-  struct iv_job_entry job = { .moved_to = -1, .chosen_cell = -1 };
+  struct iv_job_entry job = { .moved_to = -1 };
   guint jobs_per_cell[IV_CELLS_MAX] = { 0 };
   job.spec.steps.steps_len = 1;
   job.spec.steps.steps_val = &step;
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -130,7 +130,7 @@
   gint64 workers_per_core; /**< workers that a host manages per core; sets the size of cells */
   gint64 delegate;         /**< whether single tasks may be delegated to other cells */
   gint64 revoke_ms;       /**< keys are not trusted without a confirmation this recent; 0: always */
-  gint64 choose_cell;     /**< whether a job is accepted for a cell with room for it */
+  gint64 choose_cell;     /**< whether a new batch job goes to a cell with room for it */
   gint64 stop_timeout_ms; /**< time limit of a planned stop */
   gint64 job_retention_ms; /**< retention of the state of ended jobs */
 };
