--- a/daemon/tests/cell_loads_test.c
+++ b/daemon/tests/cell_loads_test.c
@@ -74,6 +74,60 @@
   iv_cell_loads_free (loads);
 }
 
+/* Numbers of @a jobs new jobs of @a cell that each of three cells gets. */
+static void
+count_choices (struct iv_cell_loads *loads, guint cell, guint jobs, guint counts[3])
+{
+  struct iv_move_needs needs = { 1, IV_CAPACITY_BATCH, "ledger", g_ptr_array_new () };
+  counts[0] = counts[1] = counts[2] = 0;
+  for (guint i = 0; i < jobs; i++)
+    counts[iv_cell_loads_choose (loads, cell, &needs, (double)i / jobs, NOW_MS)]++;
+  g_ptr_array_unref (needs.steps);
+}
+
+/* Guards against the load of two full cells beside one that is nearly empty: new jobs of the full
+   ones go where capacity is, in proportion, so that owners that read the same records do not all
+   fill one cell. */
+static void
+test_new_jobs_follow_free_capacity (void **state)
+{
+  struct iv_cell_loads *loads = iv_cell_loads_new ();
+  guint counts[3];
+  iv_cell_loads_apply (loads, 0, "400000 0 0", NOW_MS);
+  iv_cell_loads_apply (loads, 1, "600000 0 0", NOW_MS);
+  iv_cell_loads_apply (loads, 2, "3000000 0 0", NOW_MS);
+  count_choices (loads, 0, 1000, counts);
+  assert_in_range (counts[0], 95, 105);
+  assert_in_range (counts[1], 145, 155);
+  assert_in_range (counts[2], 745, 755);
+  count_choices (loads, 2, 1000, counts);
+  assert_int_equal (counts[2], 1000);
+  iv_cell_loads_free (loads);
+}
+
+/* Guards against moves between cells that differ little, and by records that are missing, or older
+   than an owner that was lost. */
+static void
+test_new_jobs_stay_where_little_is_gained (void **state)
+{
+  struct iv_cell_loads *loads = iv_cell_loads_new ();
+  guint counts[3];
+  iv_cell_loads_apply (loads, 0, "900000 0 0", NOW_MS);
+  count_choices (loads, 0, 100, counts);
+  assert_int_equal (counts[0], 100);
+  iv_cell_loads_apply (loads, 1, "1100000 0 0", NOW_MS);
+  count_choices (loads, 0, 100, counts);
+  assert_int_equal (counts[0], 100);
+  iv_cell_loads_apply (loads, 0, "0 0 0", NOW_MS - LOAD_MAX_AGE_MS - 1);
+  count_choices (loads, 0, 100, counts);
+  assert_int_equal (counts[0], 100);
+  iv_cell_loads_apply (loads, 0, "0 0 0", NOW_MS);
+  iv_cell_loads_apply (loads, 1, "0 0 0", NOW_MS);
+  count_choices (loads, 0, 100, counts);
+  assert_int_equal (counts[0], 100);
+  iv_cell_loads_free (loads);
+}
+
 /* Guards against a job that waits where nothing can hold it, or moves to where nothing can: what
    another cell holds decides before what it has free. */
 static void
@@ -162,6 +216,8 @@
     cmocka_unit_test (test_earlier_releases_record_less),
     cmocka_unit_test (test_pieces_of_other_cells),
     cmocka_unit_test (test_what_is_chosen_counts_as_used),
+    cmocka_unit_test (test_new_jobs_follow_free_capacity),
+    cmocka_unit_test (test_new_jobs_stay_where_little_is_gained),
     cmocka_unit_test (test_job_moves_to_a_cell_that_can_hold_it),
     cmocka_unit_test (test_cell_that_does_not_tell_may_hold_a_job),
     cmocka_unit_test (test_delegate_has_the_label),
--- a/jobs/tests/bench_fleet.c
+++ b/jobs/tests/bench_fleet.c
@@ -429,6 +429,13 @@
   return free_milli > needs->cpu_milli ? SIM_OTHER_CELL - own_cell (sim) : -1;
 }
 
+static guint
+on_choose_cell (void *context, const struct iv_move_needs *needs, double draw)
+{
+  const struct sim *sim = context;
+  return (guint)(sim->chooses_other_cell ? SIM_OTHER_CELL - own_cell (sim) : own_cell (sim));
+}
+
 static guint
 on_count_elsewhere (void *context, const struct iv_piece *need)
 {
@@ -525,6 +532,7 @@
                                       .owns_job = on_owns_job,
                                       .cell = own_cell (sim),
                                       .find_move_target = on_find_move_target,
+                                      .choose_cell = on_choose_cell,
                                       .find_delegate = on_find_delegate,
                                       .record_delegation = on_record_delegation,
                                       .count_elsewhere = on_count_elsewhere,
--- a/jobs/tests/bench_fleet.h
+++ b/jobs/tests/bench_fleet.h
@@ -122,6 +122,7 @@
   gboolean stalled;              /**< no run makes progress */
   gboolean domain_a_out;         /**< domain "a" is out of service */
   gint64 other_cell_milli;       /**< free capacity of another cell... */
+  gboolean chooses_other_cell;   /**< new batch jobs are to go there */
   gint64 other_cell_small_milli; /**< ...of which this is in pieces of the mean size... */
   gint64 other_cell_spare_milli; /**< ...of which this is kept from new long-running jobs */
   const char *other_cell_label;  /**< of its workers; NULL: none */
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -73,6 +73,42 @@
   sim_free (sim);
 }
 
+/* Guards against a batch job that starts in a full cell, where its later steps wait, while another
+   cell is nearly empty; and against one that is moved although it has a place of its own, was moved
+   before, or may have started under a previous owner. */
+static void
+test_new_batch_job_goes_to_the_chosen_cell (void **state)
+{
+  struct sim *sim = sim_new (4);
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  sim->chooses_other_cell = TRUE;
+  sim_make_job (1, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 100);
+  assert_int_equal (sim->move_calls, 1);
+  assert_int_equal (sim->start_calls, 0);
+  sim_make_job (1, 0);
+  sim_steps[0].data_rack = (char *)"r1-1";
+  sim_submit (sim, OTHER_JOB_ID, &sim_spec);
+  sim_advance (sim, 100);
+  assert_int_equal (sim->move_calls, 1);
+  assert_int_equal (sim->start_calls, 1);
+  sim_free (sim);
+  sim = sim_new (4);
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  sim_make_job (1, 0);
+  sim_submit (sim, JOB_ID, &sim_spec);
+  sim_advance (sim, 100);
+  assert_int_equal (sim->start_calls, 1);
+  sim->chooses_other_cell = TRUE;
+  sim_start_owner (sim);
+  sim_advance (sim, 100);
+  assert_int_equal (sim->move_calls, 0);
+  sim_free (sim);
+}
+
 /* Guards against long-running tasks that cannot be placed after their workers were lost, while
    another cell has capacity. The whole job is moved there once none of its tasks runs here. */
 static void
@@ -534,6 +570,7 @@
     cmocka_unit_test (test_unplaceable_job_is_moved),
     cmocka_unit_test (test_job_whose_ends_are_learnt_from_workers_stays),
     cmocka_unit_test (test_long_running_jobs_are_balanced_across_cells),
+    cmocka_unit_test (test_new_batch_job_goes_to_the_chosen_cell),
     cmocka_unit_test (test_unplaced_long_running_job_is_evacuated),
     cmocka_unit_test (test_spare_capacity_takes_evacuated_jobs),
     cmocka_unit_test (test_job_that_exceeds_cells_stays),
