Forecast the finish of new jobs, and advise when to retry

Callers of an outage of more than 4 s ran out of retries at a constant of 1 s; a host knew nothing of the work that waits. Both parts are off unless the settings fleet.admission and fleet.retry_advice are given.

--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -4,6 +4,7 @@
 #include "event.h"
 #include "histogram.h"
 #include "names.h"
+#include "retry_advice.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #define RESPONSE_MARGIN_MS 150 /* for the response to reach the caller */
 #define RETRY_STORE_S "1"      /* outages of the store last seconds */
 #define RETRY_CAPACITY_S "5"   /* capacity is freed when long-running jobs are cancelled */
+#define RETRY_TEXT_SIZE 12
 /* Hosts that own no cell read the jobs only now and then: a state older than this is read again
    before a caller is told... */
 #define STATE_MAX_AGE_MS 50
@@ -49,25 +51,105 @@
 }
 
 static void
-reject_with_retry (struct iv_http_request *request, int status, const char *id, const char *reason,
-                   const char *retry_s)
+log_refusal (enum iv_level level, int status, const char *id, const char *reason,
+             const char *retry_s, const char *inputs)
+{
+  iv_event (level, "request.refused", "job=%s status=%d retry_s=%s reason=%s%s%s", *id ? id : "-",
+            status, retry_s ? retry_s : "-", iv_quote (reason), *inputs ? " " : "", inputs);
+}
+
+static void
+respond_refusal (struct iv_http_request *request, int status, const char *reason,
+                 const char *retry_s)
 {
   const struct iv_http_header retry_headers[] = { { "Retry-After", retry_s }, { NULL, NULL } };
   char *json = g_strdup_printf ("{\"reason\":\"%s\"}", reason);
-  iv_event (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, "request.refused",
-            "job=%s status=%d retry_s=%s reason=%s", *id ? id : "-", status,
-            retry_s ? retry_s : "-", iv_quote (reason));
   iv_http_respond (request, status, "application/json", retry_s ? retry_headers : NULL, json,
                    strlen (json));
   g_free (json);
 }
 
+static void
+reject_with_retry (struct iv_http_request *request, int status, const char *id, const char *reason,
+                   const char *retry_s)
+{
+  log_refusal (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, status, id, reason,
+               retry_s, "");
+  respond_refusal (request, status, reason, retry_s);
+}
+
 static void
 reject (struct iv_http_request *request, int status, const char *id, const char *reason)
 {
   reject_with_retry (request, status, id, reason, status == 503 ? RETRY_STORE_S : NULL);
 }
 
+/* The text of Retry-After: @a advice_s, or @a constant where advice is off. */
+static const char *
+format_retry (const struct iv_front_task *task, guint advice_s, const char *constant,
+              char text[RETRY_TEXT_SIZE])
+{
+  if (!task->deps.settings->fleet.retry_advice)
+    return constant;
+  g_snprintf (text, RETRY_TEXT_SIZE, "%u", advice_s);
+  iv_histogram_add (
+      iv_histogram_get ("ibisvane_retry_advice_ms", "Advised time until a retry, in ms."),
+      (gint64)advice_s * 1000);
+  return text;
+}
+
+static void
+reject_unavailable (const struct iv_front_task *task, struct iv_http_request *request,
+                    const char *id)
+{
+  gint64 lasted_ms = MAX (iv_recorder_unreachable_ms (task->deps.recorder),
+                          iv_stream_unreachable_ms (task->deps.jobs));
+  guint advice_s = iv_retry_after_outage_s (lasted_ms, g_random_double ());
+  char text[RETRY_TEXT_SIZE];
+  reject_with_retry (request, 503, id, "the store is not available",
+                     format_retry (task, advice_s, RETRY_STORE_S, text));
+}
+
+/* A load that the store interrupts ends no earlier than the outage. */
+static void
+reject_starting (const struct iv_front_task *task, struct iv_http_request *request)
+{
+  struct iv_stream_progress progress = iv_stream_load_progress (task->deps.jobs);
+  gint64 lasted_ms = iv_stream_unreachable_ms (task->deps.jobs);
+  double random = g_random_double ();
+  char text[RETRY_TEXT_SIZE];
+  guint advice_s
+      = lasted_ms > 0
+            ? iv_retry_after_outage_s (lasted_ms, random)
+            : iv_retry_after_loading_s (progress.lasted_ms, progress.loaded, progress.total, random);
+  reject_with_retry (request, 503, "", "starting",
+                     format_retry (task, advice_s, RETRY_STORE_S, text));
+}
+
+static void
+reject_no_capacity (const struct iv_front_task *task, struct iv_http_request *request,
+                    const char *id)
+{
+  guint advice_s = iv_retry_after_capacity_s (g_random_double ());
+  char text[RETRY_TEXT_SIZE];
+  reject_with_retry (request, 503, id, "no room for more that lasts",
+                     format_retry (task, advice_s, RETRY_CAPACITY_S, text));
+}
+
+static void
+reject_hopeless (const struct iv_front_task *task, struct iv_http_request *request, const char *id,
+                 const struct iv_admission *admission)
+{
+  guint advice_s = iv_retry_after_backlog_s (admission->forecast.excess, admission->shrink_milli,
+                                             g_random_double ());
+  char *inputs = iv_admission_format (admission);
+  char text[RETRY_TEXT_SIZE];
+  const char *retry_s = format_retry (task, advice_s, RETRY_CAPACITY_S, text);
+  log_refusal (IV_LEVEL_INFO, 503, id, "too much work waits", retry_s, inputs);
+  respond_refusal (request, 503, "too much work waits", retry_s);
+  g_free (inputs);
+}
+
 static void
 respond_state (struct iv_http_request *request, const struct iv_job_entry *job)
 {
@@ -131,7 +213,7 @@
   if (status == IV_OK)
     respond (store_wait->request, 200, "{}");
   else if (status == IV_ERR_UNAVAILABLE)
-    reject (store_wait->request, 503, store_wait->id, "the store is not available");
+    reject_unavailable (store_wait->task, store_wait->request, store_wait->id);
   else
     reject (store_wait->request, 504, store_wait->id, "the outcome is not known");
   store_wait->request = NULL;
@@ -210,19 +292,36 @@
   g_byte_array_free (bytes, TRUE);
 }
 
-static gboolean
-has_capacity (const struct iv_front_task *task, const char *id, const ivj_job *spec)
+static struct iv_job_entry
+entry_of (const char *id, const ivj_job *spec)
 {
   struct iv_job_entry job = { .spec = *spec, .moved_to = -1 };
   g_strlcpy (job.id, id, sizeof job.id);
+  return job;
+}
+
+static gboolean
+has_capacity (const struct iv_front_task *task, const char *id, const ivj_job *spec)
+{
+  struct iv_job_entry job = entry_of (id, spec);
   return task->deps.has_capacity (task->deps.context, &job);
 }
 
+static gboolean
+admits (const struct iv_front_task *task, const char *id, const struct iv_route *route,
+        const ivj_job *spec, struct iv_admission *admission)
+{
+  struct iv_job_entry job = entry_of (id, spec);
+  const struct iv_queue_policy policy = iv_route_policy (route);
+  return task->deps.admits (task->deps.context, &job, &policy, admission);
+}
+
 static void
 submit (struct iv_front_task *task, struct iv_http_request *request, const char *id,
         const struct iv_route *route)
 {
   struct store_wait *first = g_hash_table_lookup (task->pending_submissions, id);
+  struct iv_admission admission;
   const char *body;
   gsize len;
   ivj_job job;
@@ -242,9 +341,11 @@
   if (iv_wire_parse_job (body, len, &job) != IV_OK)
     reject (request, 400, id, iv_last_message ());
   else if (store_is_unreachable (task))
-    reject (request, 503, id, "the store is not available");
+    reject_unavailable (task, request, id);
   else if (!has_capacity (task, id, &job))
-    reject_with_retry (request, 503, id, "no room for more that lasts", RETRY_CAPACITY_S);
+    reject_no_capacity (task, request, id);
+  else if (!admits (task, id, route, &job, &admission))
+    reject_hopeless (task, request, id, &admission);
   else
     store_job (task, request, id, route, &job);
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
@@ -262,7 +363,7 @@
     }
   if (store_is_unreachable (task))
     {
-      reject (request, 503, job->id, "the store is not available");
+      reject_unavailable (task, request, job->id);
       return;
     }
   store_wait = store_wait_new (task, request, job->id);
@@ -379,7 +480,7 @@
   const struct iv_route *route;
   if (routes == NULL || !iv_stream_loaded (task->deps.jobs))
     {
-      reject (request, 503, "", "starting");
+      reject_starting (task, request);
       return;
     }
   route = iv_routes_match (routes, iv_http_host (request), path);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -9,6 +9,7 @@
 #ifndef IV_FRONT_TASK_H
 #define IV_FRONT_TASK_H
 
+#include "admission.h"
 #include "queues.h"
 #include "recorder.h"
 #include "settings.h"
@@ -30,6 +31,10 @@
   const struct iv_routes *(*routes) (void *context);
   /** Whether a cell has capacity for the long-running tasks of @a job, not accepted yet. */
   gboolean (*has_capacity) (void *context, const struct iv_job_entry *job);
+  /** Whether @a job of a queue with @a policy, not accepted yet, can finish while it has value.
+   *  @a admission is set when it cannot. */
+  gboolean (*admits) (void *context, const struct iv_job_entry *job,
+                      const struct iv_queue_policy *policy, struct iv_admission *admission);
 };
 
 /** The API's servers and pending requests. */
--- a/daemon/recorder.c
+++ b/daemon/recorder.c
@@ -35,6 +35,7 @@
   gboolean outcome_unknown; /* an attempt to append sent_body had no response */
   gboolean store_unreachable;
   gboolean closed;
+  gint64 unreachable_since_ms; /* while store_unreachable */
   gint64 first_sent_ms;
   gint64 retry_delay_ms;
 };
@@ -103,6 +104,7 @@
 on_appended (void *context, enum iv_store_outcome outcome, gint64 end)
 {
   struct iv_recorder *recorder = context;
+  gboolean was_unreachable = recorder->store_unreachable;
   recorder->call_pending = FALSE;
   if (recorder->closed)
     {
@@ -110,6 +112,8 @@
       return;
     }
   recorder->store_unreachable = outcome == IV_STORE_NOT_DONE || outcome == IV_STORE_UNKNOWN;
+  if (recorder->store_unreachable && !was_unreachable)
+    recorder->unreachable_since_ms = recorder->first_sent_ms;
   switch (outcome)
     {
     case IV_STORE_OK:
@@ -245,6 +249,14 @@
   return recorder->store_unreachable;
 }
 
+gint64
+iv_recorder_unreachable_ms (const struct iv_recorder *recorder)
+{
+  return recorder->store_unreachable
+             ? (gint64)uv_now (recorder->loop) - recorder->unreachable_since_ms
+             : 0;
+}
+
 gboolean
 iv_recorder_append_pending (const struct iv_recorder *recorder)
 {
--- a/daemon/recorder.h
+++ b/daemon/recorder.h
@@ -45,6 +45,9 @@
 /** Whether the last append was refused, could not be sent or had no response. */
 gboolean iv_recorder_store_unreachable (const struct iv_recorder *recorder);
 
+/** Time in ms since the first of the appends that failed was sent; 0 when the last one did not. */
+gint64 iv_recorder_unreachable_ms (const struct iv_recorder *recorder);
+
 /** Whether an append is in progress. */
 gboolean iv_recorder_append_pending (const struct iv_recorder *recorder);
 
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -33,6 +33,9 @@
   gboolean reading;
   gboolean closed;
   gboolean store_unreachable; /* the last read failed */
+  gint64 unreachable_since_ms; /* while store_unreachable */
+  gint64 load_since_ms;
+  guint load_total; /* keys known when the load began */
   gint64 position;
   gint64 load_end;
   gint64 sent_ms;
@@ -98,8 +101,11 @@
 handle_failure (struct iv_stream *stream, enum iv_store_outcome outcome)
 {
   if (!stream->store_unreachable)
-    iv_event (IV_LEVEL_WARNING, "store.lost", "topic=%s outcome=%s", stream->topic,
-              iv_store_outcome_name (outcome));
+    {
+      stream->unreachable_since_ms = MIN (now_ms (stream), stream->sent_ms + stream->wait_ms);
+      iv_event (IV_LEVEL_WARNING, "store.lost", "topic=%s outcome=%s", stream->topic,
+                iv_store_outcome_name (outcome));
+    }
   stream->store_unreachable = TRUE;
   iv_response_time_lapse (&stream->response_time);
   g_array_append_vals (stream->queued_barriers, stream->pending_barriers->data,
@@ -254,7 +260,11 @@
   if (!stream->loaded)
     {
       if (stream->loaded_keys == NULL)
-        stream->loaded_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+        {
+          stream->loaded_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+          stream->load_since_ms = now_ms (stream);
+          stream->load_total = g_hash_table_size (stream->keys);
+        }
       iv_store_newest (stream->store, stream->topic, stream->page_after_key,
                        stream->sent_ms + read_timeout_ms (stream), on_newest, stream);
       return;
@@ -320,6 +330,23 @@
   return stream->store_unreachable;
 }
 
+gint64
+iv_stream_unreachable_ms (const struct iv_stream *stream)
+{
+  return stream->store_unreachable ? now_ms (stream) - stream->unreachable_since_ms : 0;
+}
+
+struct iv_stream_progress
+iv_stream_load_progress (const struct iv_stream *stream)
+{
+  struct iv_stream_progress progress = { .total = stream->load_total };
+  if (stream->load_since_ms > 0)
+    progress.lasted_ms = now_ms (stream) - stream->load_since_ms;
+  if (stream->loaded_keys)
+    progress.loaded = g_hash_table_size (stream->loaded_keys);
+  return progress;
+}
+
 void
 iv_stream_set_read_delay (struct iv_stream *stream, gint64 read_delay_ms)
 {
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -48,6 +48,21 @@
 /** Whether the last read failed. */
 gboolean iv_stream_is_unreachable (const struct iv_stream *stream);
 
+/** Time in ms since the first of the reads that failed should have ended; 0 when the last one did
+ *  not fail. */
+gint64 iv_stream_unreachable_ms (const struct iv_stream *stream);
+
+/** How far a load of the newest records is. */
+struct iv_stream_progress
+{
+  gint64 lasted_ms; /**< since the load began */
+  guint loaded;     /**< records that were read */
+  guint total;      /**< about as many are to be read; 0: not known, this is the first load */
+};
+
+/** Progress of the load in progress, or that of the last one. */
+struct iv_stream_progress iv_stream_load_progress (const struct iv_stream *stream);
+
 /** Change the delay between two reads. */
 void iv_stream_set_read_delay (struct iv_stream *stream, gint64 read_delay_ms);
 
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -13,6 +13,7 @@
 #define IV_OWNER_H
 
 #include "fleet.h"
+#include "forecast.h"
 #include "offers.h"
 
 struct iv_owner;
@@ -227,6 +228,7 @@
    *  tasks... */
   gint64 evacuation_milli;
   gint64 evacuation_large_milli; /**< ...and of the largest */
+  struct iv_backlog backlog;     /**< batch work that waits; all 0: it is not told */
 };
 
 /** What the long-running tasks of the cell leave on each usable worker, without what waiting ones
@@ -376,6 +378,13 @@
  *  the reserve for batch tasks. FALSE until the runs of previous owners are known. */
 gboolean iv_owner_free_capacity (struct iv_owner *owner, struct iv_cell_capacity *capacity);
 
+/** Measure the batch work that waits, and the rate at which it is completed. To be called at regular
+ *  intervals, as each call decays what was learnt of the rate. */
+void iv_owner_measure_backlog (struct iv_owner *owner, struct iv_backlog *backlog, gint64 now_ms);
+
+/** Time from the acceptance of @a spec to its objective, milliseconds. */
+gint64 iv_queue_policy_span_ms (const struct iv_queue_policy *policy, const ivj_job *spec);
+
 /** Workers of the cell, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
 
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -184,6 +184,8 @@
   FIELD (iv_fleet_settings, workers_per_core, .kind = IV_FIELD_INT, .default_value = 320, .min = 1,
          .max = 10000),
   FIELD (iv_fleet_settings, delegate, .kind = IV_FIELD_BOOL, .default_value = 1),
+  FIELD (iv_fleet_settings, admission, .kind = IV_FIELD_BOOL),
+  FIELD (iv_fleet_settings, retry_advice, .kind = IV_FIELD_BOOL),
   KEYED ("grace", iv_fleet_settings, stop_timeout_ms, .kind = IV_FIELD_DURATION,
          .default_value = 5000, .min = 100, .max = HOUR_MS),
   KEYED ("keep", iv_fleet_settings, job_retention_ms, .kind = IV_FIELD_DURATION,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -127,6 +127,8 @@
   gint64 cpu_milli;        /**< CPU of this host, in milli-cores */
   gint64 workers_per_core; /**< workers that a host manages per core; sets the size of cells */
   gint64 delegate;         /**< whether single tasks may be delegated to other cells */
+  gint64 admission;        /**< whether jobs that cannot finish in time are refused */
+  gint64 retry_advice;     /**< whether Retry-After is estimated, not constant */
   gint64 stop_timeout_ms;  /**< time limit of a planned stop */
   gint64 job_retention_ms; /**< retention of the state of ended jobs */
 };
