--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -12,7 +12,8 @@
                   1);
 }
 
-/* Forecasts the job in @a cell. FALSE when nothing recent is known of the cell. */
+/* Forecasts the job in @a cell. FALSE, and @a admission is unchanged, when nothing recent is known
+   of the cell. */
 static gboolean
 forecast_in_cell (const struct iv_cell_loads *loads, const struct iv_admission_request *request,
                   const struct iv_forecast_job *job, guint cell, gint64 now_ms,
@@ -41,8 +42,8 @@
   for (guint i = 0; i < request->cells && best->forecast.verdict == IV_FORECAST_REFUSED; i++)
     {
       struct iv_admission other = { .cell = i };
-      gboolean known = forecast_in_cell (loads, request, job, i, now_ms, &other);
-      if (!known || other.forecast.verdict != IV_FORECAST_REFUSED
+      forecast_in_cell (loads, request, job, i, now_ms, &other);
+      if (other.forecast.verdict != IV_FORECAST_REFUSED
           || other.forecast.finish_ms < best->forecast.finish_ms)
         *best = other;
     }
--- a/sched/tests/forecast_test.c
+++ b/sched/tests/forecast_test.c
@@ -382,6 +382,22 @@
     }
 }
 
+/* Load: 5 s of smaller jobs of the same priority, which make a job late, and a long backlog of less
+   urgent work. Late, it is still served before that. */
+static void
+test_less_urgent_backlog_does_not_count_for_late_jobs (void **state)
+{
+  struct iv_forecast_job same = wide;
+  struct iv_backlog backlog;
+  same.span_ms = 30000;
+  same.work = same.ready = 200000;
+  backlog = backlog_of (25, &same, 0);
+  backlog.waiting[1] = backlog.on_time[1][3] = 50000000;
+  assert_int_equal (verdict (&backlog, &wide, 0), IV_FORECAST_VALUABLE);
+  backlog.waiting[0] += 50000000;
+  assert_int_equal (verdict (&backlog, &wide, 0), IV_FORECAST_REFUSED);
+}
+
 /* Load: a long backlog of large jobs of the same priority. A small one goes before them as long as
    it is on time. */
 static void
@@ -442,6 +458,7 @@
     cmocka_unit_test (test_unknown_backlog_accepts),
     cmocka_unit_test (test_chain_that_is_too_long_is_accepted),
     cmocka_unit_test (test_less_urgent_backlog_does_not_count),
+    cmocka_unit_test (test_less_urgent_backlog_does_not_count_for_late_jobs),
     cmocka_unit_test (test_larger_jobs_do_not_count),
     cmocka_unit_test (test_expired_work_does_not_count),
     cmocka_unit_test (test_odd_amounts),
