--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -1,5 +1,6 @@
 #include "fleet_app.h"
 
+#include "cap_task.h"
 #include "cell_loads.h"
 #include "cell_task.h"
 #include "clock.h"
@@ -51,6 +52,7 @@
   struct iv_call_limits *worker_limits; /* of the calls to workers */
   struct iv_cell_task *cells[IV_CELLS_MAX];
   struct iv_cell_loads *loads;
+  struct iv_cap_rows *caps; /* records of the parts of caps */
   gboolean listing_members; /* a request for the members, for rebalance_cells(), is pending */
   gint64 next_rebalance_ms;
   struct iv_front_task *front;
@@ -68,6 +70,12 @@
   return ((struct iv_fleet_app *)context)->routes;
 }
 
+static gint64
+config_age_ms (void *context)
+{
+  return iv_stream_age_ms (((struct iv_fleet_app *)context)->operators);
+}
+
 static gboolean
 is_domain_in_service (void *context, const char *domain)
 {
@@ -150,6 +158,50 @@
   return iv_admission_decide (app->loads, &request, now_ms (app), admission);
 }
 
+/* What the tasks of the first step of @a spec need: those that wait first. */
+static gint64
+first_need (const ivj_job *spec, enum iv_capacity_kind *kind)
+{
+  const ivj_step *step = &spec->steps.steps_val[0];
+  gint64 long_running_milli = iv_job_long_running_milli (spec);
+  *kind = IV_CAPACITY_LONG_RUNNING;
+  if (long_running_milli > 0)
+    return long_running_milli;
+  *kind = step->flags & IVJ_BEST_EFFORT ? IV_CAPACITY_BEST_EFFORT : IV_CAPACITY_BATCH;
+  return (gint64)step->cpu_milli * step->count;
+}
+
+static gint
+choose_cell (void *context, const struct iv_job_entry *job, const char *service)
+{
+  struct iv_fleet_app *app = context;
+  const struct iv_layout *layout = get_layout (app);
+  const ivj_job *spec = &job->spec;
+  struct iv_move_needs needs = { .service = service };
+  guint cell;
+  guint chosen;
+  if (!app->settings->fleet.choose_cell || layout == NULL || iv_layout_cells (layout) < 2
+      || iv_layout_names_rack (layout, spec))
+    return -1;
+  cell = iv_layout_job_cell (layout, job);
+  needs.cpu_milli = first_need (spec, &needs.kind);
+  needs.steps = g_ptr_array_new ();
+  for (guint i = 0; i < spec->steps.steps_len; i++)
+    g_ptr_array_add (needs.steps, &spec->steps.steps_val[i]);
+  chosen
+      = iv_cell_loads_choose (app->loads, cell, &needs, iv_layout_job_draw (job->id), now_ms (app));
+  g_ptr_array_unref (needs.steps);
+  iv_counter_add (iv_counter_get ("ibisvane_cells_chosen_total",
+                                  chosen == cell ? "choice=\"own\"" : "choice=\"other\"",
+                                  "Cells chosen for accepted jobs."),
+                  1);
+  if (chosen == cell)
+    return -1;
+  iv_event (IV_LEVEL_DEBUG, "job.cell_chosen", "job=%s from=%u to=%u need_milli=%" G_GINT64_FORMAT,
+            job->id, cell, chosen, needs.cpu_milli);
+  return (gint)chosen;
+}
+
 static void
 on_job_changed (void *context, struct iv_job_entry *job)
 {
@@ -228,6 +280,8 @@
         iv_layout_task_apply (app->layout, (const char *)value, len);
       return IV_OK;
     }
+  if (g_str_has_prefix (key, IV_KEY_CAP))
+    return iv_cap_task_apply (app->caps, key, value, len, now_ms (app));
   if (g_str_has_prefix (key, IV_KEY_QUEUE))
     return value ? iv_queues_apply (app->queues, value, len) : IV_OK;
   return iv_job_table_apply (app->job_table, key, value, len);
@@ -281,6 +335,30 @@
     iv_cell_task_changed (app->cells[i], NULL);
 }
 
+static void
+ignore_barrier (void *context)
+{
+}
+
+/* A load does not count as a complete read. Without a barrier the first read would wait for a
+   record, and requests that need a key would be refused meanwhile. */
+static void
+on_operators_loaded (void *context)
+{
+  struct iv_fleet_app *app = context;
+  if (app->settings->fleet.revoke_ms > 0)
+    iv_stream_barrier (app->operators, ignore_barrier, app);
+}
+
+/* The configuration is confirmed anew often enough for keys to be trusted while the store
+   answers. */
+static gint64
+operators_wait_ms (const struct iv_fleet_app *app)
+{
+  gint64 revoke_ms = app->settings->fleet.revoke_ms;
+  return revoke_ms > 0 ? MIN (OPERATORS_WAIT_MS, revoke_ms / 4) : OPERATORS_WAIT_MS;
+}
+
 static void
 start_streams (struct iv_fleet_app *app)
 {
@@ -293,9 +371,10 @@
           .apply = apply_job_record,
           .context = app };
   struct iv_stream_options operators = { .topic = IV_TOPIC_OPERATORS,
-                                         .wait_ms = OPERATORS_WAIT_MS,
+                                         .wait_ms = operators_wait_ms (app),
                                          .read_delay_ms = OPERATORS_READ_DELAY_MS,
                                          .apply = apply_operator_record,
+                                         .loaded = on_operators_loaded,
                                          .context = app };
   app->jobs = iv_stream_new (app->loop, app->deadlines, app->store, &jobs);
   app->operators = iv_stream_new (app->loop, app->deadlines, app->store, &operators);
@@ -401,6 +480,7 @@
                                     .job_table = app->job_table,
                                     .queues = app->queues,
                                     .membership = app->membership,
+                                    .caps = app->caps,
                                     .settings = &app->settings->fleet,
                                     .context = app,
                                     .layout = get_layout,
@@ -429,7 +509,9 @@
                                      .settings = app->settings,
                                      .context = app,
                                      .routes = get_routes,
+                                     .config_age_ms = config_age_ms,
                                      .has_capacity = has_capacity,
+                                     .choose_cell = choose_cell,
                                      .admits = admits };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
@@ -548,6 +630,7 @@
   app->job_table = iv_job_table_new ();
   app->queues = iv_queues_new ();
   app->loads = iv_cell_loads_new ();
+  app->caps = iv_cap_rows_new ();
   app->domains_out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client = iv_http_client_new (loop, app->deadlines, CALL_IDLE_TIMEOUT_MS, 16 * MIB);
   app->store = iv_store_new (client, settings->platform.address);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -3,6 +3,9 @@
  * HTTP API for callers: submits, queries and cancels jobs, reports the number of pending jobs of a
  * queue, and answers readiness checks.
  *
+ * Where the configuration has workspaces, a request needs a key of one, unless its queue is public
+ * (access.h). A request is judged by the configuration in force when it arrives.
+ *
  * A submission is answered with 200 once the job's record is stored, with a rejection only if
  * nothing was stored, and with 504 if the outcome is unknown.
  */
@@ -29,12 +32,17 @@
   void *context;
   /** Configuration in force; NULL before it was read. */
   const struct iv_routes *(*routes) (void *context);
+  /** Age in ms of the last complete read of the topic that the configuration is in. */
+  gint64 (*config_age_ms) (void *context);
   /** Whether a cell has capacity for the long-running tasks of @a job, not accepted yet. */
   gboolean (*has_capacity) (void *context, const struct iv_job_entry *job);
   /** Whether @a job of a queue with @a policy, not accepted yet, can finish while it has value.
-   *  @a admission is set when it cannot. */
+   *  @a admission is set when it cannot. NULL: all can. */
   gboolean (*admits) (void *context, const struct iv_job_entry *job,
                       const struct iv_queue_policy *policy, struct iv_admission *admission);
+  /** Cell for @a job, not accepted yet, which belongs to the queue with service @a service; -1: the
+   *  layout assigns one. NULL: it always does. */
+  gint (*choose_cell) (void *context, const struct iv_job_entry *job, const char *service);
 };
 
 /** The API's servers and pending requests. */
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -1,5 +1,6 @@
 #include "job_table.h"
 
+#include "fair_shares.h"
 #include "status.h"
 
 #include <stdlib.h>
@@ -15,7 +16,8 @@
 
 struct iv_job_table
 {
-  GHashTable *jobs; /* from id to struct iv_job_entry */
+  GHashTable *jobs;     /* from id to struct iv_job_entry */
+  GHashTable *arrivals; /* from workspace to struct iv_arrivals: its jobs */
   iv_job_table_fn changed;
   void *context;
 };
@@ -44,7 +46,6 @@
   forget_failures (job);
   if (job->delegations)
     g_array_unref (job->delegations);
-  g_free (job->workspace);
   g_free (job);
 }
 
@@ -53,6 +54,8 @@
 {
   struct iv_job_table *table = g_new0 (struct iv_job_table, 1);
   table->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  table->arrivals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)iv_arrivals_free);
   return table;
 }
 
@@ -61,6 +64,7 @@
 {
   if (table == NULL)
     return;
+  g_hash_table_destroy (table->arrivals);
   g_hash_table_destroy (table->jobs);
   g_free (table);
 }
@@ -81,7 +85,8 @@
   job = g_new0 (struct iv_job_entry, 1);
   g_strlcpy (job->id, id, sizeof job->id);
   job->moved_to = -1;
-  job->workspace = g_strdup ("");
+  job->chosen_cell = -1;
+  job->workspace = g_intern_static_string ("");
   g_hash_table_insert (table->jobs, job->id, job);
   return job;
 }
@@ -133,19 +138,53 @@
   return IV_OK;
 }
 
-/* Decodes a job alone, or one with its workspace; `workspace` stays NULL for a job alone. */
+/* Decodes a job alone, or one with its workspace and cell; `workspace` is NULL for a job alone. */
 static enum iv_status
 decode_spec (const guint8 *value, gsize len, ivj_job_record *record)
 {
   enum iv_status status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job, value, len, &record->job);
+  record->cell = -1;
   if (status == IV_OK)
     return IV_OK;
   memset (record, 0, sizeof *record);
   return iv_xdr_decode ((iv_xdr_proc)xdr_ivj_job_record, value, len, record);
 }
 
+static void
+add_arrival (struct iv_job_table *table, const struct iv_job_entry *job)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  if (*job->workspace == '\0')
+    return;
+  if (arrivals == NULL)
+    {
+      arrivals = iv_arrivals_new ();
+      g_hash_table_insert (table->arrivals, g_strdup (job->workspace), arrivals);
+    }
+  iv_arrivals_add (arrivals, job->spec.accepted_ms, job->id);
+}
+
+static void
+remove_arrival (struct iv_job_table *table, const struct iv_job_entry *job)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  if (arrivals == NULL)
+    return;
+  iv_arrivals_remove (arrivals, job->spec.accepted_ms, job->id);
+  if (iv_arrivals_count (arrivals) == 0)
+    g_hash_table_remove (table->arrivals, job->workspace);
+}
+
+gboolean
+iv_job_table_is_beyond_rate (const struct iv_job_table *table, const struct iv_job_entry *job,
+                             double rate)
+{
+  struct iv_arrivals *arrivals = g_hash_table_lookup (table->arrivals, job->workspace);
+  return arrivals && iv_arrivals_is_beyond (arrivals, rate, job->spec.accepted_ms, job->id);
+}
+
 static enum iv_status
-apply_spec (struct iv_job_entry *job, const guint8 *value, gsize len)
+apply_spec (struct iv_job_table *table, struct iv_job_entry *job, const guint8 *value, gsize len)
 {
   ivj_job_record record = { 0 };
   enum iv_status status;
@@ -161,10 +200,11 @@
       return status;
     }
   job->spec = record.job;
-  g_free (job->workspace);
-  job->workspace = g_strdup (record.workspace ? record.workspace : "");
+  job->workspace = g_intern_string (record.workspace ? record.workspace : "");
   free (record.workspace);
+  job->chosen_cell = record.cell;
   job->accepted = TRUE;
+  add_arrival (table, job);
   return IV_OK;
 }
 
@@ -256,7 +296,7 @@
     }
   job = find_or_add_job (table, id);
   if (*suffix == '\0')
-    status = apply_spec (job, value, len);
+    status = apply_spec (table, job, value, len);
   else if (strcmp (suffix, IV_KEY_PROGRESS) == 0)
     status = apply_progress (job, value, len);
   else if (strcmp (suffix, IV_KEY_CRASHES) == 0)
@@ -312,8 +352,10 @@
 iv_job_table_remove (struct iv_job_table *table, const char *id)
 {
   struct iv_job_entry *job = g_hash_table_lookup (table->jobs, id);
-  if (job && job->exec == NULL && job->guests == 0)
-    g_hash_table_remove (table->jobs, id);
+  if (job == NULL || job->exec || job->guests > 0)
+    return;
+  remove_arrival (table, job);
+  g_hash_table_remove (table->jobs, id);
 }
 
 enum ivj_state
@@ -344,10 +386,10 @@
 }
 
 GByteArray *
-iv_job_encode_spec (const ivj_job *spec, const char *workspace)
+iv_job_encode_spec (const ivj_job *spec, const char *workspace, gint cell)
 {
-  const ivj_job_record record = { *spec, (char *)workspace };
-  if (*workspace == '\0')
+  const ivj_job_record record = { *spec, (char *)workspace, cell };
+  if (*workspace == '\0' && cell < 0)
     return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job, spec, IV_RECORD_MAX_BYTES);
   return iv_xdr_encode ((iv_xdr_proc)xdr_ivj_job_record, &record, IV_RECORD_MAX_BYTES);
 }
@@ -360,5 +402,5 @@
   if (!iv_job_state_is_final (job->live_state) || strlen (job->spec.spec) <= SPEC_KEPT_BYTES)
     return NULL;
   ended.spec = no_text;
-  return iv_job_encode_spec (&ended, job->workspace);
+  return iv_job_encode_spec (&ended, job->workspace, job->chosen_cell);
 }
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -36,6 +36,7 @@
                                */
 #define IV_KEY_OWNER "owner/" /**< + cell: claim of its owner */
 #define IV_KEY_LOAD "load/"   /**< + cell: its free capacity */
+#define IV_KEY_CAP "cap/"     /**< + cell / digest of a workspace: the cell's part of its cap */
 #define IV_RECORD_MAX_BYTES 200000 /**< of one record; below the limit of the platform */
 
 /** A job as known from the records. */
@@ -46,7 +47,10 @@
   gboolean cancel;   /**< a cancellation was recorded */
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
-  char *workspace;           /**< that it was accepted for; "" when it has none */
+  /** Cell that was chosen when it was accepted; -1: the layout assigns one. A part of the record of
+   *  the job, so that hosts that accept the same job at the same time agree on one. */
+  gint chosen_cell;
+  const char *workspace;     /**< that it was accepted for, interned; "" when it has none */
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
   GPtrArray *failures;       /**< of ivj_progress, as recorded with IV_KEY_FAILURES; NULL: none */
@@ -87,6 +91,11 @@
 /** Call @a each for every accepted job. */
 void iv_job_table_foreach (struct iv_job_table *table, iv_job_table_fn each, void *context);
 
+/** Whether @a job, of a workspace that is owed @a rate jobs a second, came beyond that rate, by the
+ *  times at which the jobs of the workspace were accepted: see iv_arrivals_is_beyond(). */
+gboolean iv_job_table_is_beyond_rate (const struct iv_job_table *table,
+                                      const struct iv_job_entry *job, double rate);
+
 /** Number of queued jobs in the queue of @a host and @a prefix: none of their tasks has started. */
 guint iv_job_table_pending (struct iv_job_table *table, const char *host, const char *prefix);
 
@@ -106,9 +115,10 @@
  *  limit or a step depends on a later one. */
 enum iv_status iv_job_validate (const ivj_job *spec);
 
-/** Record of the id of a job: @a spec, and the workspace that it was accepted for ("": none). NULL
- *  when it is too large. Free with g_byte_array_free(). */
-GByteArray *iv_job_encode_spec (const ivj_job *spec, const char *workspace);
+/** Record of the id of a job: @a spec, the workspace that it was accepted for ("": none) and the
+ * cell that was chosen for it (-1: none). NULL when it is too large. Free with g_byte_array_free().
+ */
+GByteArray *iv_job_encode_spec (const ivj_job *spec, const char *workspace, gint cell);
 
 /** Record of the id of a job that has ended, without the specification that its tasks were started
  *  with: hosts that restart read all jobs of the retention time. To be stored with its final
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -125,6 +125,10 @@
   gint64 capacity_max_age_ms;
   /** Tasks of a rack-local step take this much longer on several racks, in thousandths. */
   gint64 far_factor_milli;
+  /** Members of a gang that were started wait so long for the others; 0: without a bound. */
+  gint64 gang_wait_ms;
+  /** Learn durations of tasks; they replace estimates in the order of the queue and in waits. */
+  gboolean learn_lengths;
   /** Reserve capacity for the loss of a rack: other cells cannot take over long-running jobs. */
   gboolean spare_rack;
 };
@@ -385,6 +389,12 @@
 /** Time from the acceptance of @a spec to its objective, milliseconds. */
 gint64 iv_queue_policy_span_ms (const struct iv_queue_policy *policy, const ivj_job *spec);
 
+/** What the workspaces that have tasks in the cell use and want: struct iv_workspace_demand, in no
+ *  order. `used` is counted now, `wanted` is that of the newest dispatch. Free with
+ *  g_array_unref(); the names are valid until the owner is called again. Empty when there are no
+ *  workspaces. */
+GArray *iv_owner_workspace_demand (struct iv_owner *owner);
+
 /** Workers of the cell, for queries. */
 struct iv_fleet *iv_owner_fleet (struct iv_owner *owner);
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -118,6 +118,8 @@
   gint64 evidence_max_age_ms; /**< no start if the operators' commands were last read longer ago */
   gint64 harm_ms; /**< longest time that best-effort tasks keep a tail latency over its target */
   gint64 far_factor_milli; /**< rack-local tasks on several racks take this much longer */
+  gint64 gang_wait_ms;     /**< members of a gang that were started wait so long for the others */
+  gint64 learn_lengths;    /**< whether durations of tasks are learnt, and used */
   gint64 contact_ms;       /**< time that the platform allows for a change to take effect */
   gint64 heartbeat_ms;     /**< interval at which a worker writes its entry */
   gint64 owner_timeout_ms; /**< an owner not confirmed by the store for this long resigns */
@@ -127,9 +129,11 @@
   gint64 cpu_milli;        /**< CPU of this host, in milli-cores */
   gint64 workers_per_core; /**< workers that a host manages per core; sets the size of cells */
   gint64 delegate;         /**< whether single tasks may be delegated to other cells */
-  gint64 admission;        /**< whether jobs that cannot finish in time are refused */
-  gint64 retry_advice;     /**< whether Retry-After is estimated, not constant */
-  gint64 stop_timeout_ms;  /**< time limit of a planned stop */
+  gint64 revoke_ms;       /**< keys are not trusted without a confirmation this recent; 0: always */
+  gint64 choose_cell;     /**< whether a job is accepted for a cell with room for it */
+  gint64 admission;       /**< whether jobs that cannot finish in time are refused */
+  gint64 retry_advice;    /**< whether Retry-After is estimated, not constant */
+  gint64 stop_timeout_ms; /**< time limit of a planned stop */
   gint64 job_retention_ms; /**< retention of the state of ended jobs */
 };
 
