Take out admission by forecast; keep Retry-After advice

Tried: the owner of a cell told its backlog and the rate of completion in its load record, and a host refused a batch job, before anything was stored, that could not finish while it had value.

--- a/daemon/cell_loads.c
+++ b/daemon/cell_loads.c
@@ -1,7 +1,5 @@
 #include "cell_loads.h"
 
-#include <string.h>
-
 #define LOAD_MAX_AGE_MS 2000 /* owners record the load of a cell every 500 ms */
 /* A long-running job moves only to a cell whose free capacity exceeds that of its own cell by more
    than this multiple of the job's CPU, so that cells differ by no more. */
@@ -9,11 +7,6 @@
 /* Any other job moves only to a cell with more than this multiple of the job's CPU free: other jobs
    may be moving there at the same time. */
 #define MOVE_CAPACITY_FACTOR 3
-/* In records, before the offers: earlier releases read pieces up to the first other word. Followed
-   by the rate and the capacity, then by work as "CLASS=WORK", and as "CLASS.SIZE=WORK" of jobs on
-   time; what is 0 is left out. */
-#define BACKLOG_FOLLOWS " backlog "
-#define AMOUNT_MAX (G_MAXINT64 / 4) /* sums can be formed */
 
 /* A job that is accepted stays in the cell of its id when that has this share of the mean free
    capacity: cells differ by chance, and a choice costs bytes that every host reads. */
@@ -23,11 +16,9 @@
 struct cell_load
 {
   struct iv_cell_capacity capacity;
-  GArray *pieces;          /* of struct iv_piece; NULL: no record was applied */
-  GPtrArray *offers;       /* of struct iv_offer; NULL: the cell does not tell */
-  gint64 applied_ms;       /* 0: never */
-  gint64 recorded_waiting; /* of the backlog of the newest record */
-  gint64 shrink_milli;     /* mean rate at which it shrank from record to record */
+  GArray *pieces;    /* of struct iv_piece; NULL: no record was applied */
+  GPtrArray *offers; /* of struct iv_offer; NULL: the cell does not tell */
+  gint64 applied_ms; /* 0: never */
 };
 
 struct iv_cell_loads
@@ -368,111 +359,6 @@
   return count;
 }
 
-gboolean
-iv_cell_loads_backlog (const struct iv_cell_loads *loads, guint cell, gint64 now_ms,
-                       struct iv_cell_backlog *backlog)
-{
-  const struct cell_load *load = &loads->cells[cell];
-  if (!is_recent (load, now_ms) || load->capacity.backlog.capacity_milli == 0)
-    return FALSE;
-  backlog->backlog = load->capacity.backlog;
-  backlog->age_ms = now_ms - load->applied_ms;
-  backlog->shrink_milli = load->shrink_milli;
-  return TRUE;
-}
-
-void
-iv_cell_loads_add_accepted (struct iv_cell_loads *loads, guint cell,
-                            const struct iv_forecast_job *job, guint hosts)
-{
-  iv_backlog_add (&loads->cells[cell].capacity.backlog, job, hosts);
-}
-
-/* The work is of use only with a rate. */
-static void
-format_backlog (const struct iv_backlog *backlog, GString *text)
-{
-  g_string_append_printf (text, BACKLOG_FOLLOWS "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
-                          backlog->rate_milli, backlog->capacity_milli);
-  for (guint i = 0; backlog->rate_milli > 0 && i < IV_FORECAST_CLASSES; i++)
-    {
-      if (backlog->waiting[i] > 0)
-        g_string_append_printf (text, " %u=%" G_GINT64_FORMAT, i, backlog->waiting[i]);
-      for (guint j = 0; j < IV_FORECAST_SIZES; j++)
-        if (backlog->on_time[i][j] > 0)
-          g_string_append_printf (text, " %u.%u=%" G_GINT64_FORMAT, i, j, backlog->on_time[i][j]);
-    }
-}
-
-static gboolean
-parse_amount (const char *word, gint64 max, gint64 *amount)
-{
-  guint64 value;
-  if (!g_ascii_string_to_unsigned (word, 10, 0, (guint64)max, &value, NULL))
-    return FALSE;
-  *amount = (gint64)value;
-  return TRUE;
-}
-
-/* Parses "CLASS=WORK" or "CLASS.SIZE=WORK". */
-static gboolean
-parse_work (struct iv_backlog *backlog, const char *word)
-{
-  char **sides = g_strsplit (word, "=", 2);
-  char **place = g_strsplit (sides[0] ? sides[0] : "", ".", 2);
-  gint64 class;
-  gint64 size = 0;
-  gint64 work;
-  gboolean ok = sides[0] && sides[1] && place[0]
-                && parse_amount (place[0], IV_FORECAST_CLASSES - 1, &class)
-                && (!place[1] || parse_amount (place[1], IV_FORECAST_SIZES - 1, &size))
-                && parse_amount (sides[1], AMOUNT_MAX, &work);
-  if (ok && place[1])
-    backlog->on_time[class][size] = work;
-  else if (ok)
-    backlog->waiting[class] = work;
-  g_strfreev (place);
-  g_strfreev (sides);
-  return ok;
-}
-
-/* The backlog in the part of a record before the offers; all 0 when there is none, or it is
-   malformed. */
-static struct iv_backlog
-parse_backlog (const char *text)
-{
-  struct iv_backlog backlog = { 0 };
-  char *own = g_strndup (text, strcspn (text, "|"));
-  const char *start = strstr (own, BACKLOG_FOLLOWS);
-  char **words
-      = g_strsplit (start ? g_strstrip ((char *)start + strlen (BACKLOG_FOLLOWS)) : "", " ", -1);
-  gboolean ok = g_strv_length (words) >= 2
-                && parse_amount (words[0], AMOUNT_MAX, &backlog.rate_milli)
-                && parse_amount (words[1], AMOUNT_MAX, &backlog.capacity_milli);
-  for (guint i = 2; ok && words[i]; i++)
-    ok = parse_work (&backlog, words[i]);
-  g_strfreev (words);
-  g_free (own);
-  return ok ? backlog : (struct iv_backlog){ 0 };
-}
-
-/* Notes how the backlog has shrunk since the record before. */
-static void
-note_shrinking (struct cell_load *load, gint64 now_ms)
-{
-  double waiting = 0;
-  double shrunk;
-  for (guint i = 0; i < IV_FORECAST_CLASSES; i++)
-    waiting += (double)load->capacity.backlog.waiting[i];
-  shrunk = (double)load->recorded_waiting - waiting;
-  if (is_recent (load, now_ms) && now_ms > load->applied_ms)
-    load->shrink_milli = (gint64)(0.5 * (double)load->shrink_milli
-                                  + 500.0 * shrunk / (double)(now_ms - load->applied_ms));
-  else
-    load->shrink_milli = 0;
-  load->recorded_waiting = (gint64)waiting;
-}
-
 char *
 iv_cell_loads_format (const struct iv_cell_capacity *capacity, const GArray *pieces,
                       const GPtrArray *offers)
@@ -484,8 +370,6 @@
                    capacity->free_milli, capacity->best_effort_milli, capacity->long_running_milli,
                    capacity->evacuation_milli, capacity->evacuation_large_milli);
   iv_pieces_format (pieces, text);
-  if (capacity->backlog.capacity_milli > 0)
-    format_backlog (&capacity->backlog, text);
   if (offers)
     iv_offers_format (offers, text);
   return g_string_free (text, FALSE);
@@ -513,7 +397,5 @@
   g_clear_pointer (&load->offers, g_ptr_array_unref);
   load->pieces = iv_pieces_parse (rest);
   load->offers = iv_offers_parse (rest);
-  load->capacity.backlog = parse_backlog (rest);
-  note_shrinking (load, now_ms);
   load->applied_ms = now_ms;
 }
--- a/daemon/cell_loads.h
+++ b/daemon/cell_loads.h
@@ -18,7 +18,7 @@
 void iv_cell_loads_free (struct iv_cell_loads *loads);
 
 /** Format the record of a load. @a pieces: struct iv_piece; @a offers: NULL when they are not told.
- *  A backlog without capacity is not told either. Free with g_free(). */
+ *  Free with g_free(). */
 char *iv_cell_loads_format (const struct iv_cell_capacity *capacity, const GArray *pieces,
                             const GPtrArray *offers);
 
@@ -43,22 +43,6 @@
  *  job is moved there, or no recent load is known. */
 gboolean iv_cell_loads_admit (struct iv_cell_loads *loads, gint64 cpu_milli, gint64 now_ms);
 
-/** Batch work that waits in a cell, as known now. */
-struct iv_cell_backlog
-{
-  struct iv_backlog backlog;
-  gint64 age_ms;       /**< since its record was applied */
-  gint64 shrink_milli; /**< at which the work shrank from record to record; negative: it grew */
-};
-
-/** The backlog of @a cell. FALSE when no recent record tells it. */
-gboolean iv_cell_loads_backlog (const struct iv_cell_loads *loads, guint cell, gint64 now_ms,
-                                struct iv_cell_backlog *backlog);
-
-/** This host, one of @a hosts, accepted @a job of @a cell: it counts until the next record. */
-void iv_cell_loads_add_accepted (struct iv_cell_loads *loads, guint cell,
-                                 const struct iv_forecast_job *job, guint hosts);
-
 /** Choose a cell other than @a cell with a piece for a task of @a step; -1: there is none. */
 gint iv_cell_loads_find_delegate (struct iv_cell_loads *loads, guint cell, const char *service,
                                   const ivj_step *step, gint64 now_ms);
--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -495,8 +495,6 @@
   if (!iv_owner_free_capacity (task->owner, &capacity))
     return;
   task->next_load_ms = iv_cell_task_now_ms (task) + LOAD_INTERVAL_MS;
-  if (task->deps.settings->admission)
-    iv_owner_measure_backlog (task->owner, &capacity.backlog, iv_cell_task_now_ms (task));
   pieces = iv_owner_free_pieces (task->owner);
   if (iv_layout_cells (task->deps.layout (task->deps.context)) > 1)
     offers = iv_owner_offers (task->owner);
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -142,22 +142,6 @@
   return iv_cell_loads_admit (app->loads, iv_job_long_running_milli (&job->spec), now_ms (app));
 }
 
-/* Only the settings list entry hosts, if anything does. */
-static gboolean
-admits (void *context, const struct iv_job_entry *job, const struct iv_queue_policy *policy,
-        struct iv_admission *admission)
-{
-  struct iv_fleet_app *app = context;
-  const struct iv_layout *layout = get_layout (app);
-  struct iv_admission_request request
-      = { .spec = &job->spec, .policy = policy, .hosts = app->settings->members->len };
-  if (!app->settings->fleet.admission || layout == NULL)
-    return TRUE;
-  request.cell = iv_layout_job_cell (layout, job);
-  request.cells = iv_layout_cells (layout);
-  return iv_admission_decide (app->loads, &request, now_ms (app), admission);
-}
-
 /* What the tasks of the first step of @a spec need: those that wait first. */
 static gint64
 first_need (const ivj_job *spec, enum iv_capacity_kind *kind)
@@ -511,8 +495,7 @@
                                      .routes = get_routes,
                                      .config_age_ms = config_age_ms,
                                      .has_capacity = has_capacity,
-                                     .choose_cell = choose_cell,
-                                     .admits = admits };
+                                     .choose_cell = choose_cell };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
   deps.recorder = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1,
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -54,14 +54,6 @@
   iv_http_respond (request, status, "application/json", NULL, json, strlen (json));
 }
 
-static void
-log_refusal (enum iv_level level, int status, const char *id, const char *reason,
-             const char *retry_s, const char *inputs)
-{
-  iv_event (level, "request.refused", "job=%s status=%d retry_s=%s reason=%s%s%s", *id ? id : "-",
-            status, retry_s ? retry_s : "-", iv_quote (reason), *inputs ? " " : "", inputs);
-}
-
 static void
 respond_reason (struct iv_http_request *request, int status, const char *reason,
                 const struct iv_http_header *headers)
@@ -76,8 +68,9 @@
                    const char *retry_s)
 {
   const struct iv_http_header retry_headers[] = { { "Retry-After", retry_s }, { NULL, NULL } };
-  log_refusal (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, status, id, reason,
-               retry_s, "");
+  iv_event (status == 404 || status == 410 ? IV_LEVEL_DEBUG : IV_LEVEL_INFO, "request.refused",
+            "job=%s status=%d retry_s=%s reason=%s", *id ? id : "-", status,
+            retry_s ? retry_s : "-", iv_quote (reason));
   respond_reason (request, status, reason, retry_s ? retry_headers : NULL);
 }
 
@@ -138,21 +131,6 @@
                      format_retry (task, advice_s, RETRY_CAPACITY_S, text));
 }
 
-static void
-reject_hopeless (const struct iv_front_task *task, struct iv_http_request *request, const char *id,
-                 const struct iv_admission *admission)
-{
-  guint advice_s = iv_retry_after_backlog_s (admission->forecast.excess, admission->shrink_milli,
-                                             g_random_double ());
-  char *inputs = iv_admission_format (admission);
-  char text[RETRY_TEXT_SIZE];
-  const char *retry_s = format_retry (task, advice_s, RETRY_CAPACITY_S, text);
-  const struct iv_http_header retry_headers[] = { { "Retry-After", retry_s }, { NULL, NULL } };
-  log_refusal (IV_LEVEL_INFO, 503, id, "too much work waits", retry_s, inputs);
-  respond_reason (request, 503, "too much work waits", retry_headers);
-  g_free (inputs);
-}
-
 static void
 count_access (enum iv_access verdict)
 {
@@ -361,33 +339,16 @@
   g_byte_array_free (bytes, TRUE);
 }
 
-static struct iv_job_entry
-entry_of (const struct iv_access_caller *caller, const char *id, const ivj_job *spec)
-{
-  struct iv_job_entry job
-      = { .spec = *spec, .moved_to = -1, .chosen_cell = -1, .workspace = caller->workspace };
-  g_strlcpy (job.id, id, sizeof job.id);
-  return job;
-}
-
 static gboolean
 has_capacity (const struct iv_front_task *task, const struct iv_access_caller *caller,
               const char *id, const ivj_job *spec)
 {
-  struct iv_job_entry job = entry_of (caller, id, spec);
+  struct iv_job_entry job
+      = { .spec = *spec, .moved_to = -1, .chosen_cell = -1, .workspace = caller->workspace };
+  g_strlcpy (job.id, id, sizeof job.id);
   return task->deps.has_capacity (task->deps.context, &job);
 }
 
-static gboolean
-admits (const struct iv_front_task *task, const struct iv_access_caller *caller, const char *id,
-        const struct iv_route *route, const ivj_job *spec, struct iv_admission *admission)
-{
-  struct iv_job_entry job = entry_of (caller, id, spec);
-  const struct iv_queue_policy policy = iv_route_policy (route);
-  return task->deps.admits == NULL
-         || task->deps.admits (task->deps.context, &job, &policy, admission);
-}
-
 /* Waits for the outcome of the first submission of the same job. */
 static void
 submit_again (struct iv_front_task *task, struct iv_http_request *request,
@@ -407,7 +368,6 @@
         const struct iv_access_caller *caller, const char *id, const struct iv_route *route)
 {
   struct store_wait *first = g_hash_table_lookup (task->pending_submissions, id);
-  struct iv_admission admission;
   const struct iv_job_entry *known = iv_job_table_find (task->deps.job_table, id);
   const char *body;
   gsize len;
@@ -430,8 +390,6 @@
     reject_unavailable (task, request, id);
   else if (!has_capacity (task, caller, id, &job))
     reject_no_capacity (task, request, id);
-  else if (!admits (task, caller, id, route, &job, &admission))
-    reject_hopeless (task, request, id, &admission);
   else
     store_job (task, request, caller, id, route, &job);
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -12,7 +12,6 @@
 #ifndef IV_FRONT_TASK_H
 #define IV_FRONT_TASK_H
 
-#include "admission.h"
 #include "queues.h"
 #include "recorder.h"
 #include "settings.h"
@@ -36,10 +35,6 @@
   gint64 (*config_age_ms) (void *context);
   /** Whether a cell has capacity for the long-running tasks of @a job, not accepted yet. */
   gboolean (*has_capacity) (void *context, const struct iv_job_entry *job);
-  /** Whether @a job of a queue with @a policy, not accepted yet, can finish while it has value.
-   *  @a admission is set when it cannot. NULL: all can. */
-  gboolean (*admits) (void *context, const struct iv_job_entry *job,
-                      const struct iv_queue_policy *policy, struct iv_admission *admission);
   /** Cell for @a job, not accepted yet, which belongs to the queue with service @a service; -1: the
    *  layout assigns one. NULL: it always does. */
   gint (*choose_cell) (void *context, const struct iv_job_entry *job, const char *service);
--- a/daemon/tests/fleet_app_test.c
+++ b/daemon/tests/fleet_app_test.c
@@ -212,53 +212,6 @@
   assert_int_equal (worker->runs->len, 0);
 }
 
-/* Load: the only worker is full, and jobs that take it all for 20 s wait. A job of 8 s that has
-   value for 49 s is refused; guards against a refusal of what was stored. Without the setting the
-   same job is accepted. */
-static void
-test_hopeless_job_is_refused_before_it_is_stored (void **state)
-{
-  static const char waiting[]
-      = "{\"Steps\":[{\"Count\":1,\"Cpu\":8000,\"MemMb\":1,\"EstimateMs\":20000}]}";
-  static const char hopeless[]
-      = "{\"Steps\":[{\"Count\":3,\"Cpu\":8000,\"MemMb\":1,\"EstimateMs\":8000}]}";
-  gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
-  struct result result;
-  char path[32];
-  guint jobs = 4;
-  settings.fleet.admission = TRUE;
-  settings.fleet.retry_advice = TRUE;
-  worker->run_ms = 1000000;
-  for (guint i = 0; i < jobs; i++)
-    {
-      g_snprintf (path, sizeof path, "/q/0000000000000c%02x", i);
-      assert_int_equal (send_request ("POST", callers_address, path, waiting).status, 200);
-    }
-  /* The owner tells its backlog after it was full for an interval. */
-  do
-    {
-      g_snprintf (path, sizeof path, "/q/0000000000000c%02x", jobs++);
-      result = send_request ("POST", callers_address, path, hopeless);
-      for (gint64 next = (gint64)uv_now (loop) + 100; (gint64)uv_now (loop) < next;)
-        uv_run (loop, UV_RUN_ONCE);
-    }
-  while (result.status == 200 && (gint64)uv_now (loop) < end);
-  assert_int_equal (result.status, 503);
-  assert_non_null (strstr (result.body, "too much work waits"));
-  assert_int_equal (send_request ("GET", callers_address, path, NULL).status, 410);
-  settings.fleet.admission = FALSE;
-  settings.fleet.retry_advice = FALSE;
-  assert_int_equal (send_request ("POST", callers_address, path, hopeless).status, 200);
-  for (guint i = 0; i < jobs; i++)
-    {
-      g_snprintf (path, sizeof path, "/q/0000000000000c%02x", i);
-      assert_int_equal (send_request ("DELETE", callers_address, path, NULL).status, 200);
-    }
-  for (guint i = 0; i < 10000 && worker->runs->len > 0; i++)
-    uv_run (loop, UV_RUN_ONCE);
-  assert_int_equal (worker->runs->len, 0);
-}
-
 static void
 test_unknown_and_malformed (void **state)
 {
@@ -373,7 +326,6 @@
   assert_non_null (strstr (result.body, "ibisvane_config_version 1\n"));
   assert_non_null (strstr (result.body, "ibisvane_events_total{event=\"job.accepted\"}"));
   assert_non_null (strstr (result.body, "ibisvane_first_start_ms_count"));
-  assert_non_null (strstr (result.body, "ibisvane_admissions_total{verdict=\"refused\"} 1\n"));
   assert_non_null (strstr (result.body, "ibisvane_retry_advice_ms_count "));
 }
 
@@ -598,7 +550,6 @@
     cmocka_unit_test (test_job_runs_to_its_end),
     cmocka_unit_test (test_resubmission_is_the_same_job),
     cmocka_unit_test (test_cancelled_job_stops),
-    cmocka_unit_test (test_hopeless_job_is_refused_before_it_is_stored),
     cmocka_unit_test (test_unknown_and_malformed),
     cmocka_unit_test (test_refused_by_the_store_is_not_accepted),
     cmocka_unit_test (test_retry_after_grows_with_the_outage),
--- a/jobs/job_exec.c
+++ b/jobs/job_exec.c
@@ -5,7 +5,6 @@
 /* A task that was returned is not delegated again until the load of the cell that returned it is
    newer, and later each time: that cell may lack something else than cores. */
 #define DELEGATE_AGAIN_MS 2000
-#define CHAIN_MAX_MS 1e15 /* sums over the steps of a job fit into 64 bits */
 
 static void
 set_away (struct iv_stage *stage, struct iv_job_task *task, gboolean away)
@@ -484,16 +483,8 @@
   return exec->open->len == 0 && exec->opened == occurrence_count (&exec->job->spec);
 }
 
-/* Time of a step that has @a capacity_milli thousandths of a core to itself. */
-static gint64
-step_ms (const ivj_step *step, gint64 capacity_milli)
-{
-  double waves = MAX (1, (double)step->cpu_milli * step->count / (double)capacity_milli);
-  return (gint64)MIN (waves * (double)step->estimate_ms, CHAIN_MAX_MS);
-}
-
-static gint64
-longest_chain_ms (const ivj_job *spec, gint64 capacity_milli)
+gint64
+iv_job_critical_path_ms (const ivj_job *spec)
 {
   gint64 *ends = g_new0 (gint64, spec->steps.steps_len);
   gint64 longest = 0;
@@ -502,38 +493,13 @@
       const ivj_step *step = &spec->steps.steps_val[i];
       for (guint j = 0; j < step->depends.depends_len; j++)
         ends[i] = MAX (ends[i], ends[step->depends.depends_val[j]]);
-      ends[i] += capacity_milli > 0 ? step_ms (step, capacity_milli) : (gint64)step->estimate_ms;
+      ends[i] += (gint64)step->estimate_ms;
       longest = MAX (longest, ends[i]);
     }
   g_free (ends);
   return longest;
 }
 
-gint64
-iv_job_critical_path_ms (const ivj_job *spec)
-{
-  return longest_chain_ms (spec, 0);
-}
-
-gint64
-iv_job_waves_ms (const ivj_job *spec, gint64 capacity_milli)
-{
-  return longest_chain_ms (spec, capacity_milli);
-}
-
-gint64
-iv_job_work (const ivj_job *spec, gboolean ready_only)
-{
-  double work = 0;
-  for (guint i = 0; i < spec->steps.steps_len; i++)
-    {
-      const ivj_step *step = &spec->steps.steps_val[i];
-      if (!ready_only || step->depends.depends_len == 0)
-        work += (double)step->cpu_milli * (double)step->estimate_ms * step->count / 1000.0;
-    }
-  return (gint64)MIN (work, CHAIN_MAX_MS);
-}
-
 gint64
 iv_job_exec_expected_ms (const struct iv_job_exec *exec, const struct iv_stage *stage)
 {
@@ -597,15 +563,6 @@
   return FALSE;
 }
 
-gboolean
-iv_job_is_batch (const ivj_job *spec)
-{
-  for (guint i = 0; i < spec->steps.steps_len; i++)
-    if (spec->steps.steps_val[i].flags & (IVJ_LONG_RUNNING | IVJ_BEST_EFFORT))
-      return FALSE;
-  return spec->times <= 1 && spec->first_ms == 0;
-}
-
 gint64
 iv_job_long_running_milli (const ivj_job *spec)
 {
--- a/jobs/job_exec.h
+++ b/jobs/job_exec.h
@@ -221,14 +221,6 @@
 /** Length of the critical path of @a spec by estimated run times, milliseconds. */
 gint64 iv_job_critical_path_ms (const ivj_job *spec);
 
-/** The same on @a capacity_milli thousandths of a core that @a spec has to itself: a step that they
- *  cannot hold at once takes several waves, the last of which counts by its part. */
-gint64 iv_job_waves_ms (const ivj_job *spec, gint64 capacity_milli);
-
-/** Estimated work of @a spec, core-milliseconds: of all steps, or of those that depend on no
- *  other. */
-gint64 iv_job_work (const ivj_job *spec, gboolean ready_only);
-
 /** Expected duration of a task of @a stage, milliseconds: its estimate, or the median of what was
  *  learnt. */
 gint64 iv_job_exec_expected_ms (const struct iv_job_exec *exec, const struct iv_stage *stage);
@@ -246,8 +238,4 @@
 /** Whether a step of @a spec runs until it is cancelled. */
 gboolean iv_job_is_long_running (const ivj_job *spec);
 
-/** Whether @a spec runs once, from its acceptance on, on cores of its own: no step of it is
- *  long-running or best-effort, and it has no schedule. */
-gboolean iv_job_is_batch (const ivj_job *spec);
-
 #endif
--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -212,13 +212,6 @@
   owner->needs_dispatch = TRUE;
 }
 
-gint64
-iv_queue_policy_span_ms (const struct iv_queue_policy *policy, const ivj_job *spec)
-{
-  double chain_ms = (double)iv_job_critical_path_ms (spec);
-  return (gint64)MIN (policy->stretch * chain_ms, SPAN_MAX_MS) + policy->objective_ms;
-}
-
 void
 iv_owner_set_objective (struct iv_owner *owner, struct iv_job_exec *exec)
 {
@@ -230,7 +223,8 @@
     return;
   if (exec->inherited)
     start -= MAX (0, owner->wall_ms - spec->accepted_ms);
-  span = iv_queue_policy_span_ms (&policy, spec);
+  span = (gint64)MIN (policy.stretch * (double)iv_job_critical_path_ms (spec), SPAN_MAX_MS);
+  span += policy.objective_ms;
   exec->objective_ms = start + span;
   exec->zero_utility_ms = start + 3 * span;
 }
--- a/jobs/owner.h
+++ b/jobs/owner.h
@@ -13,7 +13,6 @@
 #define IV_OWNER_H
 
 #include "fleet.h"
-#include "forecast.h"
 #include "offers.h"
 
 struct iv_owner;
@@ -232,7 +231,6 @@
    *  tasks... */
   gint64 evacuation_milli;
   gint64 evacuation_large_milli; /**< ...and of the largest */
-  struct iv_backlog backlog;     /**< batch work that waits; all 0: it is not told */
 };
 
 /** What the long-running tasks of the cell leave on each usable worker, without what waiting ones
@@ -382,13 +380,6 @@
  *  the reserve for batch tasks. FALSE until the runs of previous owners are known. */
 gboolean iv_owner_free_capacity (struct iv_owner *owner, struct iv_cell_capacity *capacity);
 
-/** Measure the batch work that waits, and the rate at which it is completed. To be called at
- * regular intervals, as each call decays what was learnt of the rate. */
-void iv_owner_measure_backlog (struct iv_owner *owner, struct iv_backlog *backlog, gint64 now_ms);
-
-/** Time from the acceptance of @a spec to its objective, milliseconds. */
-gint64 iv_queue_policy_span_ms (const struct iv_queue_policy *policy, const ivj_job *spec);
-
 /** What the workspaces that have tasks in the cell use and want: struct iv_workspace_demand, in no
  *  order. `used` is counted now, `wanted` is that of the newest dispatch. Free with
  *  g_array_unref(); the names are valid until the owner is called again. Empty when there are no
--- a/jobs/owner_load.c
+++ b/jobs/owner_load.c
@@ -1,17 +1,11 @@
 #include "owner_private.h"
 
 #include "event.h"
-#include "queue_order.h"
 #include "reserve.h"
 
 #define LOAD_LOG_INTERVAL_MS 2000
 /* A larger share of silent workers than fail independently at the same time. */
 #define PARTITION_SILENT_PERCENT 25
-#define COMPLETED_KEEP_PERCENT 90 /* of what was learnt of the rate, kept by each measure */
-/* With less in use, tasks wait for something else than cores: a label, a rack, a gang, a ticket. */
-#define FULL_PERCENT 80
-/* Sums of estimates, which others wrote, fit into 64 bits. */
-#define WORK_MAX 1e15
 
 /* Load of a cell as logged; throttled and halted runs are also counted as best-effort. */
 struct load
@@ -141,110 +135,3 @@
   g_hash_table_destroy (domains);
   return domain_silent || silent * 100 > all * PARTITION_SILENT_PERCENT;
 }
-
-static gboolean
-is_batch (const ivj_step *step)
-{
-  return step && !(step->flags & (IVJ_LONG_RUNNING | IVJ_BEST_EFFORT));
-}
-
-void
-iv_owner_note_completed (struct iv_owner *owner, const struct iv_run *run, gint64 now_ms)
-{
-  if (!is_batch (run->step) || run->step->estimate_ms == 0)
-    return;
-  owner->ended_work += (double)run->step->cpu_milli * (double)run->step->estimate_ms / 1000.0;
-  owner->ended_core_ms += (double)run->step->cpu_milli * (double)(now_ms - run->sent_ms) / 1000.0;
-}
-
-/* Cores that batch tasks use, and those that they could use, in thousandths. */
-static void
-count_batch_cores (const struct iv_owner *owner, gint64 *used, gint64 *capacity)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, owner->fleet->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct iv_fleet_worker *worker = value;
-      gint64 batch = 0;
-      if (!worker->listed || worker->draining || worker->failures > 0)
-        continue;
-      for (guint i = 0; i < worker->runs->len; i++)
-        {
-          const struct iv_run *run = g_ptr_array_index (worker->runs, i);
-          batch += is_batch (run->step) ? (gint64)run->step->cpu_milli : 0;
-        }
-      *used += batch;
-      *capacity += MAX (batch, worker->capacity.cpu_milli - worker->used.cpu_milli + batch);
-    }
-}
-
-/* Estimated work of the tasks of @a exec that wait for a worker, core-milliseconds. */
-static gint64
-waiting_work (const struct iv_job_exec *exec)
-{
-  double work = 0;
-  for (guint i = 0; i < exec->open->len; i++)
-    {
-      const struct iv_occurrence *occurrence = g_ptr_array_index (exec->open, i);
-      for (guint j = 0; j < exec->job->spec.steps.steps_len; j++)
-        {
-          const struct iv_stage *stage = &occurrence->stages[j];
-          const ivj_step *step = stage->step;
-          if (is_batch (step) && iv_stage_ready (occurrence, stage))
-            work += (double)step->cpu_milli * (double)step->estimate_ms * iv_stage_waiting (stage)
-                    / 1000.0;
-        }
-    }
-  return (gint64)MIN (work, WORK_MAX);
-}
-
-static GArray *
-list_waiting_jobs (const struct iv_owner *owner, gint64 now_ms)
-{
-  GArray *jobs = g_array_new (FALSE, FALSE, sizeof (struct iv_backlog_job));
-  for (guint i = 0; i < owner->execs->len; i++)
-    {
-      const struct iv_job_exec *exec = g_ptr_array_index (owner->execs, i);
-      struct iv_queue_policy policy;
-      struct iv_queue_item item
-          = { .objective_ms = exec->objective_ms, .zero_utility_ms = exec->zero_utility_ms };
-      struct iv_backlog_job job = { .waiting = waiting_work (exec) };
-      if (job.waiting == 0
-          || !owner->effects.queue (owner->effects.context, exec->job->spec.host,
-                                    exec->job->spec.prefix, &policy))
-        continue;
-      job.priority = policy.priority;
-      job.work = iv_job_exec_remaining_work (exec);
-      job.path_ms = iv_job_exec_remaining_ms (exec);
-      job.objective_ms = exec->objective_ms;
-      job.zero_utility_ms = exec->zero_utility_ms;
-      item.path_ms = exec->placed > 0 ? 0 : job.path_ms;
-      job.on_time = iv_queue_classify (&item, now_ms) == IV_QUEUE_ON_TIME;
-      g_array_append_val (jobs, job);
-    }
-  return jobs;
-}
-
-/* Completions alone tell no rate when a burst begins, as its first tasks end later. So the rate is
-   the cores in use, times the ratio of estimates to the time that lately ended tasks took. It is
-   told once work has waited, in a cell that is full, for an interval between two measures. */
-void
-iv_owner_measure_backlog (struct iv_owner *owner, struct iv_backlog *backlog, gint64 now_ms)
-{
-  GArray *jobs = list_waiting_jobs (owner, now_ms);
-  double speed = owner->ended_core_ms > 0 ? owner->ended_work / owner->ended_core_ms : 1;
-  gint64 used = 0;
-  gboolean full;
-  *backlog = (struct iv_backlog){ 0 };
-  count_batch_cores (owner, &used, &backlog->capacity_milli);
-  full = jobs->len > 0 && used * 100 >= backlog->capacity_milli * FULL_PERCENT;
-  if (full && owner->was_full && owner->previous_runs_known)
-    backlog->rate_milli = (gint64)MIN ((double)used * speed, WORK_MAX);
-  iv_backlog_measure (backlog, jobs, now_ms);
-  owner->was_full = full;
-  owner->ended_work *= COMPLETED_KEEP_PERCENT / 100.0;
-  owner->ended_core_ms *= COMPLETED_KEEP_PERCENT / 100.0;
-  g_array_unref (jobs);
-}
--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -82,9 +82,6 @@
   GArray *departures;             /**< of struct iv_departure, by time */
   gint64 next_drain_ms;           /**< when to look for tasks on draining workers next */
   gint64 batch_demand_milli;      /**< decaying maximum of the cores that batch tasks needed */
-  double ended_work;              /**< decaying sum of the estimates of batch tasks that ended... */
-  double ended_core_ms;           /**< ...and of the core-milliseconds that they took */
-  gboolean was_full;              /**< at the last measure of the backlog */
   struct iv_advice_query advice_query;
   gint64 next_advice_ms; /**< no advice query before */
   GPtrArray *execs;      /**< of struct iv_job_exec: jobs that have not ended */
@@ -234,10 +231,6 @@
 void iv_owner_log_evidence (const struct iv_owner *owner, enum iv_level level, const char *event,
                             const struct iv_run *run, const char *evidence, gint64 age_ms);
 
-/** A task has ended as done in @a run, which is about to be removed: learn the rate at which work
- * is completed. owner_load.c. */
-void iv_owner_note_completed (struct iv_owner *owner, const struct iv_run *run, gint64 now_ms);
-
 /** Log the load of the cell when the log interval has passed: owner_load.c. */
 void iv_owner_log_load (struct iv_owner *owner, gint64 now_ms);
 
--- a/jobs/owner_replies.c
+++ b/jobs/owner_replies.c
@@ -317,8 +317,6 @@
               "task=%s.%u.%u.%u run=%" G_GINT64_FORMAT " worker=%s how=%s", end->name.job,
               end->name.occurrence, end->name.step, end->name.index, end->number, worker->id,
               end_names[end->reason]);
-  if (run && end->reason == IV_END_DONE)
-    iv_owner_note_completed (owner, run, now_ms);
   if (run && task && end->reason == IV_END_DONE && task->state != IV_JOB_TASK_DONE)
     {
       stage_end = measure_end (owner, exec, stage, task, run, now_ms);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -187,7 +187,6 @@
   FIELD (iv_fleet_settings, workers_per_core, .kind = IV_FIELD_INT, .default_value = 320, .min = 1,
          .max = 10000),
   FIELD (iv_fleet_settings, delegate, .kind = IV_FIELD_BOOL, .default_value = 1),
-  FIELD (iv_fleet_settings, admission, .kind = IV_FIELD_BOOL),
   FIELD (iv_fleet_settings, retry_advice, .kind = IV_FIELD_BOOL),
   KEYED ("revoke", iv_fleet_settings, revoke_ms, .kind = IV_FIELD_DURATION, .default_value = 0,
          .min = 0, .max = HOUR_MS),
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -131,7 +131,6 @@
   gint64 delegate;         /**< whether single tasks may be delegated to other cells */
   gint64 revoke_ms;       /**< keys are not trusted without a confirmation this recent; 0: always */
   gint64 choose_cell;     /**< whether a job is accepted for a cell with room for it */
-  gint64 admission;       /**< whether jobs that cannot finish in time are refused */
   gint64 retry_advice;    /**< whether Retry-After is estimated, not constant */
   gint64 stop_timeout_ms; /**< time limit of a planned stop */
   gint64 job_retention_ms; /**< retention of the state of ended jobs */
--- a/settings/tests/settings_test.c
+++ b/settings/tests/settings_test.c
@@ -51,11 +51,11 @@
   iv_findings_free (findings);
 }
 
-/* Guards against hosts that refuse jobs, or change their advice, without being told to. */
+/* Guards against hosts that change their advice without being told to. */
 static void
-test_admission_is_off_by_default (void **state)
+test_retry_advice_is_off_by_default (void **state)
 {
-  static const char *const rows[] = { "", ", admission: true, retry_advice: true" };
+  static const char *const rows[] = { "", ", retry_advice: true" };
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       struct iv_settings settings;
@@ -64,7 +64,6 @@
           HEAD PLATFORM MEMBERS "fleet: {jobs: '127.0.0.1:5', ready: '127.0.0.1:6'%s}\n", rows[i]);
       struct iv_document *document = iv_settings_read (text, strlen (text), &settings, findings);
       assert_int_equal (iv_findings_count (findings), 0);
-      assert_int_equal (settings.fleet.admission, i);
       assert_int_equal (settings.fleet.retry_advice, i);
       iv_document_free (document);
       iv_findings_free (findings);
@@ -137,7 +136,7 @@
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_defaults), cmocka_unit_test (test_admission_is_off_by_default),
+      = { cmocka_unit_test (test_defaults), cmocka_unit_test (test_retry_advice_is_off_by_default),
           cmocka_unit_test (test_findings), cmocka_unit_test (test_fleet_limits),
           cmocka_unit_test (test_revocation_is_off_by_default) };
   return cmocka_run_group_tests (tests, NULL, NULL);
