--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -6,6 +6,7 @@
 #include "event.h"
 #include "histogram.h"
 #include "names.h"
+#include "retry_advice.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +15,7 @@
 #define RESPONSE_MARGIN_MS 150 /* for the response to reach the caller */
 #define RETRY_STORE_S "1"      /* outages of the store last seconds */
 #define RETRY_CAPACITY_S "5"   /* capacity is freed when long-running jobs are cancelled */
+#define RETRY_TEXT_SIZE 12
 /* Hosts that own no cell read the jobs only now and then: a state older than this is read again
    before a caller is told... */
 #define STATE_MAX_AGE_MS 50
@@ -78,6 +80,57 @@
   reject_with_retry (request, status, id, reason, status == 503 ? RETRY_STORE_S : NULL);
 }
 
+/* The text of Retry-After: @a advice_s, or @a constant where advice is off. */
+static const char *
+format_retry (const struct iv_front_task *task, guint advice_s, const char *constant,
+              char text[RETRY_TEXT_SIZE])
+{
+  if (!task->deps.settings->fleet.retry_advice)
+    return constant;
+  g_snprintf (text, RETRY_TEXT_SIZE, "%u", advice_s);
+  iv_histogram_add (
+      iv_histogram_get ("ibisvane_retry_advice_ms", "Advised time until a retry, in ms."),
+      (gint64)advice_s * 1000);
+  return text;
+}
+
+static void
+reject_unavailable (const struct iv_front_task *task, struct iv_http_request *request,
+                    const char *id)
+{
+  gint64 lasted_ms = MAX (iv_recorder_unreachable_ms (task->deps.recorder),
+                          iv_stream_unreachable_ms (task->deps.jobs));
+  guint advice_s = iv_retry_after_outage_s (lasted_ms, g_random_double ());
+  char text[RETRY_TEXT_SIZE];
+  reject_with_retry (request, 503, id, "the store is not available",
+                     format_retry (task, advice_s, RETRY_STORE_S, text));
+}
+
+/* A load that the store interrupts ends no earlier than the outage. */
+static void
+reject_starting (const struct iv_front_task *task, struct iv_http_request *request)
+{
+  struct iv_stream_progress progress = iv_stream_load_progress (task->deps.jobs);
+  gint64 lasted_ms = iv_stream_unreachable_ms (task->deps.jobs);
+  double random = g_random_double ();
+  char text[RETRY_TEXT_SIZE];
+  guint advice_s = lasted_ms > 0 ? iv_retry_after_outage_s (lasted_ms, random)
+                                 : iv_retry_after_loading_s (progress.lasted_ms, progress.loaded,
+                                                             progress.total, random);
+  reject_with_retry (request, 503, "", "starting",
+                     format_retry (task, advice_s, RETRY_STORE_S, text));
+}
+
+static void
+reject_no_capacity (const struct iv_front_task *task, struct iv_http_request *request,
+                    const char *id)
+{
+  guint advice_s = iv_retry_after_capacity_s (g_random_double ());
+  char text[RETRY_TEXT_SIZE];
+  reject_with_retry (request, 503, id, "no room for more that lasts",
+                     format_retry (task, advice_s, RETRY_CAPACITY_S, text));
+}
+
 static void
 count_access (enum iv_access verdict)
 {
@@ -194,7 +247,7 @@
   if (status == IV_OK)
     respond (store_wait->request, 200, "{}");
   else if (status == IV_ERR_UNAVAILABLE)
-    reject (store_wait->request, 503, store_wait->id, "the store is not available");
+    reject_unavailable (store_wait->task, store_wait->request, store_wait->id);
   else
     reject (store_wait->request, 504, store_wait->id, "the outcome is not known");
   store_wait->request = NULL;
@@ -322,9 +375,9 @@
   if (iv_wire_parse_job (body, len, &job) != IV_OK)
     reject (request, 400, id, iv_last_message ());
   else if (store_is_unreachable (task))
-    reject (request, 503, id, "the store is not available");
+    reject_unavailable (task, request, id);
   else if (!has_capacity (task, caller, id, &job))
-    reject_with_retry (request, 503, id, "no room for more that lasts", RETRY_CAPACITY_S);
+    reject_no_capacity (task, request, id);
   else
     store_job (task, request, caller, id, route, &job);
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
@@ -343,7 +396,7 @@
     }
   if (store_is_unreachable (task))
     {
-      reject (request, 503, job->id, "the store is not available");
+      reject_unavailable (task, request, job->id);
       return;
     }
   store_wait = store_wait_new (task, request, caller, job->id);
@@ -494,7 +547,7 @@
   char id[IV_JOB_ID_LEN + 1] = "";
   if (routes == NULL || !iv_stream_loaded (task->deps.jobs))
     {
-      reject (request, 503, "", "starting");
+      reject_starting (task, request);
       return;
     }
   route = iv_routes_match (routes, iv_http_host (request), path);
