Count what a cancelled job may have left in a takeover; prefer another rack when one is lost

Found by a review, read from the code. A job that was cancelled before the next owner began, or whose cancel was not recorded as an end in the cell of its delegated tasks, counted as using nothing while its runs were unknown, so the limit of its workspace could be exceeded; and runs that this owner started itself were hidden behind what a previous one may have left. test_unknown_runs_of_a_job_cancelled_in_a_takeover_count fails without the first fix (mutant usage_unopened); the other two have no test of their own.

--- a/jobs/owner_private.h
+++ b/jobs/owner_private.h
@@ -127,7 +127,7 @@
 
 /** The job of @a exec, which is about to be freed, may have runs left on workers that have not
  *  answered yet: count what it uses now until they have. */
-void iv_owner_keep_usage (struct iv_owner *owner, const struct iv_job_exec *exec);
+void iv_owner_keep_usage (struct iv_owner *owner, struct iv_job_exec *exec);
 
 /** The same for @a job, which a previous owner has ended. */
 void iv_owner_keep_ended_usage (struct iv_owner *owner, const struct iv_job_entry *job);
--- a/jobs/owner_workspaces.c
+++ b/jobs/owner_workspaces.c
@@ -51,11 +51,12 @@
   run->workspace_needs = iv_workspace_needs (step, 1);
 }
 
+/* Whether @a run is counted with what previous owners may have left of its job. */
 static gboolean
-is_left (const struct iv_owner *owner, const char *job)
+is_left (const struct iv_owner *owner, const struct iv_run *run)
 {
-  return g_hash_table_size (owner->left_usage) > 0
-         && g_hash_table_contains (owner->left_usage, job);
+  return g_hash_table_size (owner->left_usage) > 0 && run->number <= owner->run_base
+         && g_hash_table_contains (owner->left_usage, run->name.job);
 }
 
 static void
@@ -63,7 +64,7 @@
 {
   if (run->workspace == NULL)
     look_up_workspace (owner, run);
-  if (run->workspace && *run->workspace && !is_left (owner, run->name.job))
+  if (run->workspace && *run->workspace && !is_left (owner, run))
     iv_workspace_account_add (iv_workspace_usage_account (owner->usage, run->workspace),
                               &run->workspace_needs);
 }
@@ -225,18 +226,20 @@
         {
           const struct iv_run *run = g_ptr_array_index (runs, i);
           const ivj_step *step = step_of (run, job);
-          if (step && strcmp (run->name.job, job->id) == 0)
+          if (step && run->number <= owner->run_base && strcmp (run->name.job, job->id) == 0)
             iv_workspace_account_use (account, step, 1);
         }
     }
 }
 
 void
-iv_owner_keep_usage (struct iv_owner *owner, const struct iv_job_exec *exec)
+iv_owner_keep_usage (struct iv_owner *owner, struct iv_job_exec *exec)
 {
   struct iv_workspace_account account = { 0 };
   if (owner->usage == NULL || *exec->job->workspace == '\0' || !may_have_unknown_runs (owner, exec))
     return;
+  /* A job that was cancelled during the takeover ends before its occurrences are opened. */
+  iv_job_exec_open_due (exec, owner->wall_ms);
   iv_workspace_account_use_unknown (&account, exec);
   use_runs_of (owner, exec->job, &account);
   keep (owner, exec->job, &account.used);
@@ -250,7 +253,8 @@
   struct iv_workspace_account account = { 0 };
   if (owner->usage == NULL || *job->workspace == '\0' || !owner->loading_jobs
       || job->progress.state == IVJ_COMPLETED
-      || job->progress.ended_ms + owner->limits.horizon_ms < owner->wall_ms)
+      || (iv_job_state_is_final (job->progress.state)
+          && job->progress.ended_ms + owner->limits.horizon_ms < owner->wall_ms))
     return;
   iv_workspace_account_use_ended (&account, job);
   keep (owner, job, &account.used);
--- a/jobs/tests/workspace_usage_test.c
+++ b/jobs/tests/workspace_usage_test.c
@@ -350,6 +350,27 @@
   sim_free (sim);
 }
 
+/* The same for a job that is cancelled before the next owner begins, and of whose start no record
+   was stored: that owner ends it before it has opened its occurrence. */
+static void
+test_unknown_runs_of_a_job_cancelled_in_a_takeover_count (void **state)
+{
+  struct sim *sim = cell_with_limit (8000, FALSE);
+  char *key = g_strconcat (job_id (1), IV_KEY_CANCEL, NULL);
+  sim->store_records = FALSE;
+  submit (sim, WORKSPACE, job_id (1), 4);
+  sim_advance (sim, 500);
+  assert_int_equal (sim_job_runs (sim, job_id (1)), 4);
+  iv_job_table_apply (sim->job_table, key, (const guint8 *)"1", 1);
+  take_over_cut_off (sim, job_id (1));
+  sim->store_records = TRUE;
+  submit (sim, WORKSPACE, job_id (2), 4);
+  advance_within (sim, HORIZON_MS + LOST_MS, 8000);
+  assert_int_equal (sim_job_runs (sim, job_id (2)), 4);
+  g_free (key);
+  sim_free (sim);
+}
+
 /* The same for a job that the previous owner has cancelled, and whose stops were lost. */
 static void
 test_unknown_runs_of_an_ended_job_count (void **state)
@@ -673,6 +694,7 @@
     cmocka_unit_test (test_unknown_runs_count),
     cmocka_unit_test (test_unknown_runs_of_the_next_step_count),
     cmocka_unit_test (test_unknown_runs_of_a_cancelled_job_count),
+    cmocka_unit_test (test_unknown_runs_of_a_job_cancelled_in_a_takeover_count),
     cmocka_unit_test (test_unknown_runs_of_an_ended_job_count),
     cmocka_unit_test (test_adopted_runs_of_an_ended_job_count),
     cmocka_unit_test (test_limit_holds_through_disturbances),
--- a/sched/place_wait.c
+++ b/sched/place_wait.c
@@ -147,7 +147,7 @@
 {
   const struct iv_place *place = choose (query);
   gint64 latest = latest_ms (query);
-  if (is_lost (query))
+  if (is_lost (query) && (place == NULL || place->room_in_ms > 0))
     return go (IV_PLACE_LOST, place);
   if (query->since_ms > 0 && query->now_ms >= latest)
     return go (IV_PLACE_BOUND, place);
