Let held tasks claim no rack, and a stage claim its rack once in a dispatch

Found by a review, read from the code, not replayed: a stage that is visited in several turns of its workspace added its claim each time and found its rack full of its own tasks; tasks that only the limit holds claimed room as well. Only with fleet.learn_lengths do claims decide. No test of its own. Tests of workspace_usage, waits, rack, gang and owner pass.

--- a/jobs/dispatch.c
+++ b/jobs/dispatch.c
@@ -442,10 +442,12 @@
   else
     dispatch_tasks (owner, &query, exec, stage, &name, now_ms);
   iv_owner_note_held (candidate->account, exec, stage, now_ms);
+  /* A task whose turn comes later in this dispatch does not lack a worker yet, and its stage would
+     find the room in a rack claimed by itself. */
+  if (owner->turn_ended)
+    return;
   iv_rack_note (owner, &choice, stage, exec->job->id);
-  /* A task whose turn comes later in this dispatch does not lack a worker yet. */
-  if (!owner->turn_ended)
-    note_waiting (stage, &query);
+  note_waiting (stage, &query);
 }
 
 /* No start may be sent now: tells only which tasks the limit of the workspace holds. */
--- a/jobs/rack.c
+++ b/jobs/rack.c
@@ -328,7 +328,8 @@
   return choice;
 }
 
-/* The tasks of @a stage that wait take the next room in @a rack before others behind them. */
+/* The tasks of @a stage that lack a worker take the next room in @a rack before others behind them.
+   Those that the limit of their workspace holds take none. */
 static void
 claim (struct iv_owner *owner, const char *rack, const struct iv_stage *stage)
 {
@@ -338,7 +339,7 @@
       milli = g_new0 (gint64, 1);
       g_hash_table_insert (owner->rack_claims, g_strdup (rack), milli);
     }
-  *milli += (gint64)stage->step->cpu_milli * iv_stage_waiting (stage);
+  *milli += (gint64)stage->step->cpu_milli * iv_stage_lacking (stage);
 }
 
 void
@@ -349,7 +350,7 @@
       = { job, stage->number, choice->kind, &choice->inputs, choice->made, 0 };
   if (!choice->decided)
     return;
-  report.waiting = iv_stage_waiting (stage);
+  report.waiting = iv_stage_lacking (stage);
   if (choice->made.place && report.waiting > 0)
     claim (owner, choice->made.place, stage);
   iv_wait_note (&stage->wait, &report, &owner->wait_lines);
