Bound the ticket of a cell whose tasks never start

A cell kept its ticket while it wanted anything, so a gang larger than the whole cap stopped the workspace in all other cells. The ticket now ends after 1 s with the whole cap and no start, and none is taken for 5 s.

--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -10,6 +10,10 @@
 /* A cell that cannot start anything in its share takes a ticket after this time: a request for
    what others do not use is answered within it in calm times. */
 #define STALL_MS 300
+/* Tasks that can never start, such as a gang larger than the cap, must not keep a ticket: it ends
+   when nothing has started in this time with the whole cap... */
+#define TURN_MS 1000
+#define TICKET_PAUSE_MS 5000 /* ...and the cell takes none for this long, so that others start */
 #define NEED_STEP (IV_CAP_WHOLE / 64)   /* requests are rounded up, so that few are recorded */
 #define GRANT_MIN (IV_CAP_WHOLE / 1024) /* smaller grants are made only to complete a request */
 #define CHANGES_PER_STEP_MAX 64         /* a record has about 150 bytes */
@@ -51,6 +55,8 @@
   gint64 ticket;
   gint64 stalled_since_ms; /* 0: it is not stalled */
   gint64 stalled_share;    /* what was in use then */
+  gint64 turn_until_ms;    /* the ticket ends then; 0: the cell does not hold the whole cap */
+  gint64 no_ticket_until_ms;
   struct iv_resources used;
   struct iv_resources wanted;
   guint64 demand_round;
@@ -673,6 +679,18 @@
   find_winner (parts, part, view);
 }
 
+/* Whether this cell holds the whole cap for its ticket, and has started nothing for too long. */
+static gboolean
+is_turn_over (const struct iv_cap_parts *parts, struct part *part, const struct view *view,
+              gint64 now_ms)
+{
+  if (view->winner != (gint)parts->cell || view->fraction[parts->cell] < IV_CAP_WHOLE)
+    part->turn_until_ms = 0;
+  else if (part->turn_until_ms == 0)
+    part->turn_until_ms = now_ms + TURN_MS;
+  return part->turn_until_ms > 0 && now_ms >= part->turn_until_ms;
+}
+
 /* A cell that has its share, and uses at most half of it although tasks wait, cannot start any of
    them in it. It takes a ticket; the cell with the lowest one gets all that is not in use. When a
    task has started, the next one has its turn. */
@@ -685,7 +703,12 @@
                      && 2 * view->share <= fraction
                      && fraction + GRANT_MIN >= view->target[parts->cell];
   if (part->ticket > 0 && !is_zero (&part->wanted) && view->share <= part->stalled_share)
-    return;
+    {
+      if (!is_turn_over (parts, part, view, now_ms))
+        return;
+      part->no_ticket_until_ms = now_ms + TICKET_PAUSE_MS;
+    }
+  part->turn_until_ms = 0;
   if (!stalled || (part->stalled_since_ms > 0 && view->share > part->stalled_share))
     part->stalled_since_ms = 0;
   else if (part->stalled_since_ms == 0)
@@ -694,7 +717,8 @@
       part->stalled_share = view->share;
     }
   part->ticket = 0;
-  if (part->stalled_since_ms == 0 || now_ms < part->stalled_since_ms + STALL_MS)
+  if (part->stalled_since_ms == 0 || now_ms < part->stalled_since_ms + STALL_MS
+      || now_ms < part->no_ticket_until_ms)
     return;
   for (guint i = 0; i < parts->cells; i++)
     part->ticket = MAX (part->ticket, ticket_of (parts, part, i));
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -24,7 +24,7 @@
 struct task
 {
   struct iv_resources need;
-  gint64 length_ms;
+  gint64 length_ms; /* 0: it can never start */
   gint64 end_ms;
 };
 
@@ -277,7 +277,7 @@
     {
       struct task task = g_array_index (cell->waiting, struct task, i);
       struct iv_resources used = sum_of (cell->running);
-      if (!fits (&limit, &used, &task.need))
+      if (task.length_ms == 0 || !fits (&limit, &used, &task.need))
         {
           i++;
           continue;
@@ -538,6 +538,27 @@
     }
 }
 
+/* Guards against a workspace that stops in all cells because of a task that can never start. */
+static void
+test_task_that_never_starts_blocks_no_other_cell (void **state)
+{
+  for (guint count = 2; count <= CELLS_MAX; count++)
+    {
+      struct play play;
+      begin_play (&play, count, count, 4000, 0);
+      add_tasks (&play, 0, 1, 9000, 0, 0);
+      run_until (&play, play.now_ms + 2000);
+      add_tasks (&play, 1, 1000, 500, 0, 300);
+      for (guint i = 0; i < 6; i++)
+        {
+          guint before = play.cells[1].starts;
+          run_until (&play, play.now_ms + 8000);
+          assert_true (play.cells[1].starts >= before + 10);
+        }
+      end_play (&play);
+    }
+}
+
 /* Guards against room that is kept for, or given to, a cell that asked and is gone. */
 static void
 test_request_of_a_silent_cell_expires (void **state)
@@ -821,6 +842,7 @@
           cmocka_unit_test (test_outcome_of_a_grant),
           cmocka_unit_test (test_unneeded_room_is_usable_elsewhere),
           cmocka_unit_test (test_cap_smaller_than_a_task_is_used_in_turn),
+          cmocka_unit_test (test_task_that_never_starts_blocks_no_other_cell),
           cmocka_unit_test (test_cells_that_both_want_share),
           cmocka_unit_test (test_request_of_a_silent_cell_expires),
           cmocka_unit_test (test_lowered_cap_is_deducted_until_it_is_known),
