Round up the part of a cell with more than half of a cap

A part was rounded down, so a cap of one accelerator at a fraction of 0.9995 was 0 and nothing started. Above one half it is now rounded up; the other parts are rounded down, so the sum stays at most the cap.

--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -431,15 +431,18 @@
   return sum;
 }
 
-/* What fraction @a fraction allows, without @a excess. */
+/* What fraction @a fraction allows, without @a excess. Above one half, of which there is one cell,
+   the part is rounded up: with the others' parts, rounded down, it is at most the cap. Otherwise a
+   cap of one accelerator would be 0 when another cell holds a trace of it. */
 static struct iv_resources
 amounts_of (const struct part *part, gint64 fraction, const struct iv_resources *excess)
 {
   struct iv_resources amounts = { -1, -1, -1 };
+  gboolean round_up = fraction > IV_CAP_WHOLE / 2;
   for (guint i = 0; i < RESOURCES; i++)
     if (get_amount (&part->cap, i) >= 0)
       *amount_at (&amounts, i)
-          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, FALSE)
+          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, round_up)
                      - get_amount (excess, i),
                  0);
   return amounts;
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -559,6 +559,49 @@
     }
 }
 
+/* Guards against a small cap that is unusable because another cell holds a trace of it for what it
+   runs of another resource. */
+static void
+test_trace_elsewhere_leaves_a_small_cap_usable (void **state)
+{
+  for (gint64 cap = 1; cap <= 2; cap++)
+    {
+      struct play play;
+      struct iv_resources used;
+      begin_play (&play, 2, 1, 2000000, cap);
+      add_tasks (&play, 1, 1, 1000, 0, 60000);
+      run_until (&play, play.now_ms + 500);
+      add_tasks (&play, 0, 2, 1000, 1, 20000);
+      run_until (&play, play.now_ms + 3000);
+      used = sum_of (play.cells[0].running);
+      assert_int_equal (used.accelerators, cap);
+      end_play (&play);
+    }
+}
+
+/* Guards against more tasks of one accelerator than the cap when several cells want them. */
+static void
+test_small_cap_is_kept (void **state)
+{
+  for (guint32 seed = 1; seed <= 40; seed++)
+    {
+      struct play play;
+      struct iv_resources used;
+      gint64 cap = 1 + seed % 2;
+      begin_play (&play, 2 + seed % (CELLS_MAX - 1), seed, 2000000, cap);
+      for (gint64 end_ms = play.now_ms + 20000; play.now_ms < end_ms;)
+        {
+          guint cell = (guint)draw (&play, 0, play.count - 1);
+          add_tasks (&play, cell, 1, 1000 * draw (&play, 1, 900), draw (&play, 0, 1),
+                     draw (&play, 50, 1000));
+          run_until (&play, play.now_ms + STEP_MS * draw (&play, 1, 20));
+          used = sum_of_all (&play);
+          assert_true (used.accelerators <= cap);
+        }
+      end_play (&play);
+    }
+}
+
 /* Guards against room that is kept for, or given to, a cell that asked and is gone. */
 static void
 test_request_of_a_silent_cell_expires (void **state)
@@ -843,6 +886,8 @@
           cmocka_unit_test (test_unneeded_room_is_usable_elsewhere),
           cmocka_unit_test (test_cap_smaller_than_a_task_is_used_in_turn),
           cmocka_unit_test (test_task_that_never_starts_blocks_no_other_cell),
+          cmocka_unit_test (test_trace_elsewhere_leaves_a_small_cap_usable),
+          cmocka_unit_test (test_small_cap_is_kept),
           cmocka_unit_test (test_cells_that_both_want_share),
           cmocka_unit_test (test_request_of_a_silent_cell_expires),
           cmocka_unit_test (test_lowered_cap_is_deducted_until_it_is_known),
