Ask for no part of a cap with an outdated configuration

An owner whose configuration is outdated starts nothing, but it asked for parts, took tickets and kept other cells from starting. It now has no wants until its configuration is current. No test program covers this part of cell_task.c; cap_task_test (6) and two_owners_test (2) passed.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -248,6 +248,15 @@
                            iv_cell_task_now_ms (task));
 }
 
+/* Nothing starts with an outdated configuration: room that is asked for would stay unused. */
+static void
+clear_wanted (GArray *demand)
+{
+  static const struct iv_resources none = { 0 };
+  for (guint i = 0; i < demand->len; i++)
+    g_array_index (demand, struct iv_workspace_demand, i).wanted = none;
+}
+
 /* The demand is that of this moment: what a cell gives, it neither runs nor starts any more. */
 static void
 step_caps (struct iv_cell_task *task)
@@ -258,6 +267,8 @@
     return;
   task->caps_outdated = is_config_outdated (task);
   demand = iv_owner_workspace_demand (task->owner);
+  if (task->caps_outdated)
+    clear_wanted (demand);
   if (iv_cap_task_step (task->caps, demand, task->recorder, iv_cell_task_now_ms (task))
       || (was_outdated && !task->caps_outdated))
     {
