Report what a new owner runs above its part of a newer cap

A new owner without a record of its cell, or with one of an older version, reported nothing above its part, so tasks from before the cap were not deducted elsewhere. It now reports them until they have ended. The test's check of limits also covers configurations without a cap.

--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -498,6 +498,13 @@
   part->over_possible = TRUE;
 }
 
+/* Whether what runs in this cell began under a cap that the records do not tell. */
+static gboolean
+may_run_above (const struct iv_cap_parts *parts, const struct iv_cap_row *own)
+{
+  return own == NULL || own->version < parts->version || !is_zero (&own->over);
+}
+
 /* Takes what the records tell: what this cell has given, and caps that other cells last applied. */
 static struct part *
 add_part (struct iv_cap_parts *parts, const char *name, const struct iv_resources *cap,
@@ -510,6 +517,7 @@
   part->hold = IV_CAP_WHOLE;
   g_hash_table_insert (parts->by_name, part->name, part);
   g_ptr_array_add (parts->all, part);
+  part->over_possible = may_run_above (parts, row_of (parts, part, parts->cell));
   for (guint i = 0; part->rows && i < parts->cells; i++)
     {
       const struct iv_cap_row *row = row_of (parts, part, i);
@@ -519,7 +527,6 @@
         continue;
       part->queued = *row;
       part->has_queued = TRUE;
-      part->over_possible |= !is_zero (&row->over);
       memcpy (part->given, row->given, sizeof part->given);
       memcpy (part->stored, row->given, sizeof part->stored);
     }
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -267,12 +267,21 @@
   assert_true (need->accelerators == 0 || sum.accelerators <= cap.accelerators + 1);
 }
 
+/* Whether the configuration that @a cell has applied has a cap. */
+static gboolean
+is_capped (const struct play *play, const struct cell *cell)
+{
+  const struct version *version
+      = &g_array_index (play->versions, struct version, cell->version - 1);
+  return version->cap.cpu_milli > 0 || version->cap.accelerators > 0;
+}
+
 static void
 start_tasks (struct play *play, struct cell *cell)
 {
   struct iv_cap_limit limit;
   iv_cap_parts_limit (cell->parts, NAME, &limit, play->now_ms);
-  assert_true (limit.limited);
+  assert_int_equal (limit.limited, is_capped (play, cell));
   for (guint i = 0; i < cell->waiting->len;)
     {
       struct task task = g_array_index (cell->waiting, struct task, i);
@@ -725,6 +734,27 @@
   end_play (&play);
 }
 
+/* Guards against a new owner that does not report what its predecessor started without a cap. */
+static void
+test_new_owner_reports_tasks_from_before_the_cap (void **state)
+{
+  struct task task = { { 1000, 0, 0 }, 0, 0 };
+  struct play play;
+  begin_play (&play, 2, 1, 0, 0);
+  run_until (&play, play.now_ms + 500);
+  task.end_ms = play.now_ms + 5000;
+  for (guint i = 0; i < 10; i++)
+    g_array_append_val (play.cells[1].running, task);
+  add_version (&play, 12000, 0);
+  begin_owner (&play, 1);
+  configure (&play, &play.cells[0]);
+  run_until (&play, play.now_ms + 3000);
+  assert_int_equal (cpu_limit (&play, 0), 6000 - 4000);
+  run_until (&play, play.now_ms + 2500);
+  assert_int_equal (cpu_limit (&play, 0), 6000);
+  end_play (&play);
+}
+
 /* Guards against a cell that never gets its share from another that always has work. */
 static void
 test_cells_that_both_want_share (void **state)
@@ -895,6 +925,7 @@
           cmocka_unit_test (test_tasks_above_a_lowered_part_are_deducted),
           cmocka_unit_test (test_nothing_is_given_to_a_cell_with_an_old_cap),
           cmocka_unit_test (test_new_owner_deducts_too),
+          cmocka_unit_test (test_new_owner_reports_tasks_from_before_the_cap),
           cmocka_unit_test (test_nothing_starves_beside_a_free_half),
           cmocka_unit_test (test_sum_never_exceeds_the_cap),
           cmocka_unit_test (test_cost_of_many_workspaces) };
