Deduct for a raised cap that this host skipped

A host that went from a cap of 100 past one of 200 to 100 compared only its own caps and deducted nothing for a cell that applies 200. Each new version is now compared with the caps in the records of all cells too; a later version does not prolong a deduction that is under way. The new test fails without the change; cap_parts_test: 20 passed, cap_task_test: 6 passed.

--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -498,6 +498,28 @@
   part->over_possible = TRUE;
 }
 
+/* Whether the last lowering has counted cells that apply the version and the cap of @a row. It is
+   not begun again: frequent configurations must not prolong the deduction for a silent cell. */
+static gboolean
+is_counted (const struct part *part, const struct iv_cap_row *row)
+{
+  return row->version < part->lowered_version && !is_lower_cap (&part->high, &row->cap);
+}
+
+/* Caps that other cells last applied may be higher than any that this host has read. */
+static void
+begin_lowering_from_rows (struct iv_cap_parts *parts, struct part *part, gint64 now_ms)
+{
+  for (guint i = 0; part->rows && i < parts->cells; i++)
+    {
+      const struct iv_cap_row *row = row_of (parts, part, i);
+      const struct iv_resources *cap = &part->cap;
+      if (row && row->version < parts->version && is_lower_cap (cap, &row->cap))
+        if (!is_counted (part, row))
+          begin_lowering (parts, part, &row->cap, now_ms);
+    }
+}
+
 /* Whether what runs in this cell began under a cap that the records do not tell. */
 static gboolean
 may_run_above (const struct iv_cap_parts *parts, const struct iv_cap_row *own)
@@ -511,24 +533,22 @@
           gint64 now_ms)
 {
   struct part *part = g_new0 (struct part, 1);
+  const struct iv_cap_row *own;
   part->name = g_strdup (name);
   part->rows = get_rows (parts->rows, name);
   part->cap = *cap;
   part->hold = IV_CAP_WHOLE;
   g_hash_table_insert (parts->by_name, part->name, part);
   g_ptr_array_add (parts->all, part);
-  part->over_possible = may_run_above (parts, row_of (parts, part, parts->cell));
-  for (guint i = 0; part->rows && i < parts->cells; i++)
+  own = row_of (parts, part, parts->cell);
+  part->over_possible = may_run_above (parts, own);
+  begin_lowering_from_rows (parts, part, now_ms);
+  if (own)
     {
-      const struct iv_cap_row *row = row_of (parts, part, i);
-      if (row && row->version < parts->version && is_lower_cap (cap, &row->cap))
-        begin_lowering (parts, part, &row->cap, now_ms);
-      if (row == NULL || i != parts->cell)
-        continue;
-      part->queued = *row;
+      part->queued = *own;
       part->has_queued = TRUE;
-      memcpy (part->given, row->given, sizeof part->given);
-      memcpy (part->stored, row->given, sizeof part->stored);
+      memcpy (part->given, own->given, sizeof part->given);
+      memcpy (part->stored, own->given, sizeof part->stored);
     }
   return part;
 }
@@ -541,6 +561,7 @@
   part->cap = *cap;
   if (is_lower_cap (cap, &old))
     begin_lowering (parts, part, &old, now_ms);
+  begin_lowering_from_rows (parts, part, now_ms);
 }
 
 void
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -755,6 +755,36 @@
   end_play (&play);
 }
 
+/* Guards against a host that skipped a raised cap and deducts nothing for a cell that applies it,
+   and against a deduction that each later version prolongs. */
+static void
+test_skipped_raised_cap_is_deducted (void **state)
+{
+  struct play play;
+  gint64 end_ms;
+  begin_play (&play, 2, 1, 10000, 0);
+  run_until (&play, play.now_ms + 500);
+  for (guint i = 0; i < 2; i++)
+    play.cells[i].next_apply_ms = G_MAXINT64;
+  add_version (&play, 20000, 0);
+  configure (&play, &play.cells[1]);
+  run_until (&play, play.now_ms + 500);
+  add_version (&play, 10000, 0);
+  configure (&play, &play.cells[0]);
+  assert_int_equal (cpu_limit (&play, 0), 0);
+  end_ms = play.now_ms + SILENCE_MS;
+  while (play.now_ms < end_ms - STEP_MS)
+    {
+      assert_int_equal (cpu_limit (&play, 0), 0);
+      run_until (&play, MIN (play.now_ms + 1000, end_ms - STEP_MS));
+      add_version (&play, 10000, 0);
+      configure (&play, &play.cells[0]);
+    }
+  run_until (&play, play.now_ms + 2 * STEP_MS);
+  assert_int_equal (cpu_limit (&play, 0), 5000);
+  end_play (&play);
+}
+
 /* Guards against a cell that never gets its share from another that always has work. */
 static void
 test_cells_that_both_want_share (void **state)
@@ -926,6 +956,7 @@
           cmocka_unit_test (test_nothing_is_given_to_a_cell_with_an_old_cap),
           cmocka_unit_test (test_new_owner_deducts_too),
           cmocka_unit_test (test_new_owner_reports_tasks_from_before_the_cap),
+          cmocka_unit_test (test_skipped_raised_cap_is_deducted),
           cmocka_unit_test (test_nothing_starves_beside_a_free_half),
           cmocka_unit_test (test_sum_never_exceeds_the_cap),
           cmocka_unit_test (test_cost_of_many_workspaces) };
