--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -10,6 +10,10 @@
 /* A cell that cannot start anything in its share takes a ticket after this time: a request for
    what others do not use is answered within it in calm times. */
 #define STALL_MS 300
+/* Tasks that can never start, such as a gang larger than the cap, must not keep a ticket: it ends
+   when nothing has started in this time with the whole cap... */
+#define TURN_MS 1000
+#define TICKET_PAUSE_MS 5000 /* ...and the cell takes none for this long, so that others start */
 #define NEED_STEP (IV_CAP_WHOLE / 64)   /* requests are rounded up, so that few are recorded */
 #define GRANT_MIN (IV_CAP_WHOLE / 1024) /* smaller grants are made only to complete a request */
 #define CHANGES_PER_STEP_MAX 64         /* a record has about 150 bytes */
@@ -51,6 +55,8 @@
   gint64 ticket;
   gint64 stalled_since_ms; /* 0: it is not stalled */
   gint64 stalled_share;    /* what was in use then */
+  gint64 turn_until_ms;    /* the ticket ends then; 0: the cell does not hold the whole cap */
+  gint64 no_ticket_until_ms;
   struct iv_resources used;
   struct iv_resources wanted;
   guint64 demand_round;
@@ -425,15 +431,18 @@
   return sum;
 }
 
-/* What fraction @a fraction allows, without @a excess. */
+/* What fraction @a fraction allows, without @a excess. Above one half, of which there is one cell,
+   the part is rounded up: with the others' parts, rounded down, it is at most the cap. Otherwise a
+   cap of one accelerator would be 0 when another cell holds a trace of it. */
 static struct iv_resources
 amounts_of (const struct part *part, gint64 fraction, const struct iv_resources *excess)
 {
   struct iv_resources amounts = { -1, -1, -1 };
+  gboolean round_up = fraction > IV_CAP_WHOLE / 2;
   for (guint i = 0; i < RESOURCES; i++)
     if (get_amount (&part->cap, i) >= 0)
       *amount_at (&amounts, i)
-          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, FALSE)
+          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, round_up)
                      - get_amount (excess, i),
                  0);
   return amounts;
@@ -489,30 +498,57 @@
   part->over_possible = TRUE;
 }
 
+/* Whether the last lowering has counted cells that apply the version and the cap of @a row. It is
+   not begun again: frequent configurations must not prolong the deduction for a silent cell. */
+static gboolean
+is_counted (const struct part *part, const struct iv_cap_row *row)
+{
+  return row->version < part->lowered_version && !is_lower_cap (&part->high, &row->cap);
+}
+
+/* Caps that other cells last applied may be higher than any that this host has read. */
+static void
+begin_lowering_from_rows (struct iv_cap_parts *parts, struct part *part, gint64 now_ms)
+{
+  for (guint i = 0; part->rows && i < parts->cells; i++)
+    {
+      const struct iv_cap_row *row = row_of (parts, part, i);
+      const struct iv_resources *cap = &part->cap;
+      if (row && row->version < parts->version && is_lower_cap (cap, &row->cap))
+        if (!is_counted (part, row))
+          begin_lowering (parts, part, &row->cap, now_ms);
+    }
+}
+
+/* Whether what runs in this cell began under a cap that the records do not tell. */
+static gboolean
+may_run_above (const struct iv_cap_parts *parts, const struct iv_cap_row *own)
+{
+  return own == NULL || own->version < parts->version || !is_zero (&own->over);
+}
+
 /* Takes what the records tell: what this cell has given, and caps that other cells last applied. */
 static struct part *
 add_part (struct iv_cap_parts *parts, const char *name, const struct iv_resources *cap,
           gint64 now_ms)
 {
   struct part *part = g_new0 (struct part, 1);
+  const struct iv_cap_row *own;
   part->name = g_strdup (name);
   part->rows = get_rows (parts->rows, name);
   part->cap = *cap;
   part->hold = IV_CAP_WHOLE;
   g_hash_table_insert (parts->by_name, part->name, part);
   g_ptr_array_add (parts->all, part);
-  for (guint i = 0; part->rows && i < parts->cells; i++)
+  own = row_of (parts, part, parts->cell);
+  part->over_possible = may_run_above (parts, own);
+  begin_lowering_from_rows (parts, part, now_ms);
+  if (own)
     {
-      const struct iv_cap_row *row = row_of (parts, part, i);
-      if (row && row->version < parts->version && is_lower_cap (cap, &row->cap))
-        begin_lowering (parts, part, &row->cap, now_ms);
-      if (row == NULL || i != parts->cell)
-        continue;
-      part->queued = *row;
+      part->queued = *own;
       part->has_queued = TRUE;
-      part->over_possible |= !is_zero (&row->over);
-      memcpy (part->given, row->given, sizeof part->given);
-      memcpy (part->stored, row->given, sizeof part->stored);
+      memcpy (part->given, own->given, sizeof part->given);
+      memcpy (part->stored, own->given, sizeof part->stored);
     }
   return part;
 }
@@ -525,6 +561,7 @@
   part->cap = *cap;
   if (is_lower_cap (cap, &old))
     begin_lowering (parts, part, &old, now_ms);
+  begin_lowering_from_rows (parts, part, now_ms);
 }
 
 void
@@ -673,6 +710,18 @@
   find_winner (parts, part, view);
 }
 
+/* Whether this cell holds the whole cap for its ticket, and has started nothing for too long. */
+static gboolean
+is_turn_over (const struct iv_cap_parts *parts, struct part *part, const struct view *view,
+              gint64 now_ms)
+{
+  if (view->winner != (gint)parts->cell || view->fraction[parts->cell] < IV_CAP_WHOLE)
+    part->turn_until_ms = 0;
+  else if (part->turn_until_ms == 0)
+    part->turn_until_ms = now_ms + TURN_MS;
+  return part->turn_until_ms > 0 && now_ms >= part->turn_until_ms;
+}
+
 /* A cell that has its share, and uses at most half of it although tasks wait, cannot start any of
    them in it. It takes a ticket; the cell with the lowest one gets all that is not in use. When a
    task has started, the next one has its turn. */
@@ -685,7 +734,12 @@
                      && 2 * view->share <= fraction
                      && fraction + GRANT_MIN >= view->target[parts->cell];
   if (part->ticket > 0 && !is_zero (&part->wanted) && view->share <= part->stalled_share)
-    return;
+    {
+      if (!is_turn_over (parts, part, view, now_ms))
+        return;
+      part->no_ticket_until_ms = now_ms + TICKET_PAUSE_MS;
+    }
+  part->turn_until_ms = 0;
   if (!stalled || (part->stalled_since_ms > 0 && view->share > part->stalled_share))
     part->stalled_since_ms = 0;
   else if (part->stalled_since_ms == 0)
@@ -694,7 +748,8 @@
       part->stalled_share = view->share;
     }
   part->ticket = 0;
-  if (part->stalled_since_ms == 0 || now_ms < part->stalled_since_ms + STALL_MS)
+  if (part->stalled_since_ms == 0 || now_ms < part->stalled_since_ms + STALL_MS
+      || now_ms < part->no_ticket_until_ms)
     return;
   for (guint i = 0; i < parts->cells; i++)
     part->ticket = MAX (part->ticket, ticket_of (parts, part, i));
