--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -1,9 +1,9 @@
 #include "cap_parts.h"
 
+#include "cap_private.h"
+
 #include <string.h>
-#include <xxhash.h>
 
-#define FORMAT_VERSION 1
 #define WRITE_INTERVAL_MS 100   /* between two records of a workspace */
 #define BEAT_INTERVAL_MS 700    /* a request that lasts is repeated this often... */
 #define REQUEST_MAX_AGE_MS 2000 /* ...and one that was not repeated has expired */
@@ -17,33 +17,17 @@
 #define NEED_STEP (IV_CAP_WHOLE / 64)   /* requests are rounded up, so that few are recorded */
 #define GRANT_MIN (IV_CAP_WHOLE / 1024) /* smaller grants are made only to complete a request */
 #define CHANGES_PER_STEP_MAX 64         /* a record has about 150 bytes */
-#define AMOUNT_MAX (G_MAXINT64 / 64)    /* sums over all cells do not overflow */
-#define RESOURCES 3
-
-/* Records of one workspace. */
-struct name_rows
-{
-  char *name;
-  struct iv_cap_row *cells[IV_CAP_CELLS_MAX]; /* NULL: none was read */
-  gint64 applied_ms[IV_CAP_CELLS_MAX];
-};
-
-struct iv_cap_rows
-{
-  GHashTable *by_name; /* to struct name_rows */
-  guint64 applied;
-};
 
 /* The part of one workspace. */
 struct part
 {
   char *name;
-  const struct name_rows *rows; /* NULL: there are too many workspaces */
-  struct iv_resources cap;      /* -1: no limit */
-  gboolean over_possible;       /* the cap was lowered, and more may run than the part */
-  struct iv_resources high;     /* highest cap that another cell may apply */
-  gint64 lowered_version;       /* cells that do not know this version may apply it... */
-  gint64 lowered_until_ms;      /* ...until then */
+  const struct iv_cap_name_rows *rows; /* NULL: there are too many workspaces */
+  struct iv_resources cap;             /* -1: no limit */
+  gboolean over_possible;              /* the cap was lowered, and more may run than the part */
+  struct iv_resources high;            /* highest cap that another cell may apply */
+  gint64 lowered_version;              /* cells that do not know this version may apply it... */
+  gint64 lowered_until_ms;             /* ...until then */
   gint64 given[IV_CAP_CELLS_MAX];
   gint64 stored[IV_CAP_CELLS_MAX]; /* of that, what is or may be stored */
   struct iv_cap_row queued;        /* last record that was queued or read */
@@ -76,28 +60,13 @@
   guint next; /* index to begin the next step with */
 };
 
-static gint64 *
-amount_at (struct iv_resources *amounts, guint index)
-{
-  gint64 *const fields[RESOURCES]
-      = { &amounts->cpu_milli, &amounts->mem_mb, &amounts->accelerators };
-  return fields[index];
-}
-
-static gint64
-get_amount (const struct iv_resources *amounts, guint index)
-{
-  const gint64 fields[RESOURCES] = { amounts->cpu_milli, amounts->mem_mb, amounts->accelerators };
-  return fields[index];
-}
-
 /* a * b / c; 0 when c is. */
 static gint64
 scale (gint64 a, gint64 b, gint64 c, gboolean round_up)
 {
   __int128 product = (__int128)a * b + (round_up ? c - 1 : 0);
   __int128 result = c == 0 ? 0 : product / c;
-  return result > AMOUNT_MAX ? AMOUNT_MAX : (gint64)result;
+  return result > IV_CAP_AMOUNT_MAX ? IV_CAP_AMOUNT_MAX : (gint64)result;
 }
 
 static gboolean
@@ -117,18 +86,19 @@
 share_of (const struct iv_resources *amounts, const struct iv_resources *cap)
 {
   gint64 share = 0;
-  for (guint i = 0; i < RESOURCES; i++)
-    if (get_amount (cap, i) > 0)
-      share = MAX (
-          share, scale (MAX (get_amount (amounts, i), 0), IV_CAP_WHOLE, get_amount (cap, i), TRUE));
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
+    if (iv_cap_amount (cap, i) > 0)
+      share = MAX (share, scale (MAX (iv_cap_amount (amounts, i), 0), IV_CAP_WHOLE,
+                                 iv_cap_amount (cap, i), TRUE));
   return MIN (share, IV_CAP_WHOLE);
 }
 
 static void
 add_amounts (struct iv_resources *sum, const struct iv_resources *more)
 {
-  for (guint i = 0; i < RESOURCES; i++)
-    *amount_at (sum, i) = MIN (get_amount (sum, i) + get_amount (more, i), AMOUNT_MAX);
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
+    *iv_cap_amount_at (sum, i)
+        = MIN (iv_cap_amount (sum, i) + iv_cap_amount (more, i), IV_CAP_AMOUNT_MAX);
 }
 
 /* Whether cap @a a is below cap @a b in a resource. */
@@ -148,180 +118,9 @@
 static void
 raise_cap (struct iv_resources *cap, const struct iv_resources *other)
 {
-  for (guint i = 0; i < RESOURCES; i++)
-    if (is_lower (get_amount (cap, i), get_amount (other, i)))
-      *amount_at (cap, i) = get_amount (other, i);
-}
-
-static void
-append_number (GString *text, gint64 number)
-{
-  g_string_append_printf (text, "%" G_GINT64_FORMAT " ", number);
-}
-
-char *
-iv_cap_row_format (const char *workspace, const struct iv_cap_row *row)
-{
-  GString *text = g_string_new (NULL);
-  append_number (text, FORMAT_VERSION);
-  append_number (text, row->cells);
-  append_number (text, row->version);
-  for (guint i = 0; i < RESOURCES; i++)
-    append_number (text, get_amount (&row->cap, i));
-  for (guint i = 0; i < RESOURCES; i++)
-    append_number (text, get_amount (&row->over, i));
-  append_number (text, row->need);
-  append_number (text, row->ticket);
-  append_number (text, row->beat);
-  for (guint i = 0; i < row->cells; i++)
-    append_number (text, row->given[i]);
-  g_string_append (text, workspace);
-  return g_string_free (text, FALSE);
-}
-
-/* Reads a number from @a low to @a high and the space that follows. */
-static gboolean
-read_number (char **text, gint64 low, gint64 high, gint64 *number)
-{
-  char *end;
-  if (**text != '-' && !g_ascii_isdigit (**text))
-    return FALSE;
-  *number = g_ascii_strtoll (*text, &end, 10);
-  if (end == *text || *end != ' ' || *number < low || *number > high)
-    return FALSE;
-  *text = end + 1;
-  return TRUE;
-}
-
-static gboolean
-read_row (char **text, struct iv_cap_row *row)
-{
-  gint64 format;
-  gint64 cells;
-  gboolean ok = read_number (text, FORMAT_VERSION, FORMAT_VERSION, &format)
-                && read_number (text, 1, IV_CAP_CELLS_MAX, &cells)
-                && read_number (text, 0, G_MAXINT64 - 1, &row->version);
-  for (guint i = 0; ok && i < RESOURCES; i++)
-    ok = read_number (text, -1, G_MAXINT64 - 1, amount_at (&row->cap, i));
-  for (guint i = 0; ok && i < RESOURCES; i++)
-    ok = read_number (text, 0, AMOUNT_MAX, amount_at (&row->over, i));
-  ok = ok && read_number (text, 0, IV_CAP_WHOLE, &row->need)
-       && read_number (text, 0, AMOUNT_MAX, &row->ticket)
-       && read_number (text, 0, AMOUNT_MAX, &row->beat);
-  row->cells = ok ? (guint)cells : 0;
-  for (guint i = 0; ok && i < row->cells; i++)
-    ok = read_number (text, 0, AMOUNT_MAX, &row->given[i]);
-  return ok;
-}
-
-enum iv_status
-iv_cap_row_parse (const char *value, gsize len, struct iv_cap_row *row, char **workspace)
-{
-  char *text = g_strndup (value, len);
-  char *rest = text;
-  gboolean ok = strlen (text) == len;
-  memset (row, 0, sizeof *row);
-  ok = ok && read_row (&rest, row) && *rest != '\0' && strlen (rest) <= IV_WORKSPACE_NAME_MAX;
-  *workspace = ok ? g_strdup (rest) : NULL;
-  g_free (text);
-  return ok ? IV_OK : iv_fail (IV_ERR_INVALID, "malformed record of a part of a cap");
-}
-
-char *
-iv_cap_digest (const char *workspace)
-{
-  XXH128_hash_t hash = XXH3_128bits (workspace, strlen (workspace));
-  return g_strdup_printf ("%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
-                          (guint64)hash.high64, (guint64)hash.low64);
-}
-
-static void
-free_name_rows (gpointer data)
-{
-  struct name_rows *rows = data;
-  for (guint i = 0; i < IV_CAP_CELLS_MAX; i++)
-    g_free (rows->cells[i]);
-  g_free (rows->name);
-  g_free (rows);
-}
-
-struct iv_cap_rows *
-iv_cap_rows_new (void)
-{
-  struct iv_cap_rows *rows = g_new0 (struct iv_cap_rows, 1);
-  rows->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_name_rows);
-  return rows;
-}
-
-void
-iv_cap_rows_free (struct iv_cap_rows *rows)
-{
-  if (rows == NULL)
-    return;
-  g_hash_table_destroy (rows->by_name);
-  g_free (rows);
-}
-
-/* NULL when there are too many. */
-static struct name_rows *
-get_rows (const struct iv_cap_rows *rows, const char *name)
-{
-  struct name_rows *found = g_hash_table_lookup (rows->by_name, name);
-  if (found || g_hash_table_size (rows->by_name) >= IV_CAP_NAMES_MAX)
-    return found;
-  found = g_new0 (struct name_rows, 1);
-  found->name = g_strdup (name);
-  g_hash_table_insert (rows->by_name, found->name, found);
-  return found;
-}
-
-/* Whether a counter of @a row is below that of @a last. */
-static gboolean
-goes_back (const struct iv_cap_row *row, const struct iv_cap_row *last)
-{
-  /* Another layout begins with new counters. */
-  if (last == NULL || row->cells != last->cells)
-    return FALSE;
-  for (guint i = 0; i < row->cells; i++)
-    if (row->given[i] < last->given[i])
-      return TRUE;
-  return FALSE;
-}
-
-enum iv_status
-iv_cap_rows_apply (struct iv_cap_rows *rows, guint cell, const char *digest, const char *value,
-                   gsize len, gint64 now_ms)
-{
-  struct iv_cap_row row;
-  struct name_rows *found = NULL;
-  char *expected = NULL;
-  char *name;
-  enum iv_status status = iv_cap_row_parse (value, len, &row, &name);
-  if (status != IV_OK || name == NULL)
-    return status;
-  expected = iv_cap_digest (name);
-  if (strcmp (expected, digest) != 0 || cell >= row.cells)
-    status = iv_fail (IV_ERR_INVALID, "the key of a part of a cap does not match its record");
-  else if ((found = get_rows (rows, name)) == NULL)
-    status = iv_fail (IV_ERR_LIMIT, "more than %d workspaces", IV_CAP_NAMES_MAX);
-  else if (goes_back (&row, found->cells[cell]))
-    status = iv_fail (IV_ERR_INVALID, "a cell takes back what it has given");
-  g_free (expected);
-  g_free (name);
-  if (status != IV_OK || found == NULL)
-    return status;
-  if (found->cells[cell] == NULL)
-    found->cells[cell] = g_new (struct iv_cap_row, 1);
-  *found->cells[cell] = row;
-  found->applied_ms[cell] = now_ms;
-  rows->applied++;
-  return IV_OK;
-}
-
-guint64
-iv_cap_rows_applied (const struct iv_cap_rows *rows)
-{
-  return rows->applied;
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
+    if (is_lower (iv_cap_amount (cap, i), iv_cap_amount (other, i)))
+      *iv_cap_amount_at (cap, i) = iv_cap_amount (other, i);
 }
 
 static void
@@ -403,14 +202,14 @@
 {
   struct iv_resources more = { 0 };
   gint64 fraction = fraction_of (parts, part, cell);
-  for (guint i = 0; i < RESOURCES; i++)
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
     {
-      gint64 cap = get_amount (&part->cap, i);
-      gint64 high = get_amount (&part->high, i);
+      gint64 cap = iv_cap_amount (&part->cap, i);
+      gint64 high = iv_cap_amount (&part->high, i);
       if (cap >= 0 && high < 0)
-        *amount_at (&more, i) = AMOUNT_MAX;
+        *iv_cap_amount_at (&more, i) = IV_CAP_AMOUNT_MAX;
       else if (is_lower (cap, high))
-        *amount_at (&more, i) = scale (high - cap, fraction, IV_CAP_WHOLE, TRUE);
+        *iv_cap_amount_at (&more, i) = scale (high - cap, fraction, IV_CAP_WHOLE, TRUE);
     }
   add_amounts (sum, &more);
 }
@@ -439,11 +238,11 @@
 {
   struct iv_resources amounts = { -1, -1, -1 };
   gboolean round_up = fraction > IV_CAP_WHOLE / 2;
-  for (guint i = 0; i < RESOURCES; i++)
-    if (get_amount (&part->cap, i) >= 0)
-      *amount_at (&amounts, i)
-          = MAX (scale (get_amount (&part->cap, i), fraction, IV_CAP_WHOLE, round_up)
-                     - get_amount (excess, i),
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
+    if (iv_cap_amount (&part->cap, i) >= 0)
+      *iv_cap_amount_at (&amounts, i)
+          = MAX (scale (iv_cap_amount (&part->cap, i), fraction, IV_CAP_WHOLE, round_up)
+                     - iv_cap_amount (excess, i),
                  0);
   return amounts;
 }
@@ -479,9 +278,9 @@
 cap_in (const struct iv_workspace *workspace)
 {
   struct iv_resources cap = { -1, -1, -1 };
-  for (guint i = 0; workspace && i < RESOURCES; i++)
-    if (get_amount (&workspace->cap, i) > 0)
-      *amount_at (&cap, i) = get_amount (&workspace->cap, i);
+  for (guint i = 0; workspace && i < IV_CAP_RESOURCES; i++)
+    if (iv_cap_amount (&workspace->cap, i) > 0)
+      *iv_cap_amount_at (&cap, i) = iv_cap_amount (&workspace->cap, i);
   return cap;
 }
 
@@ -535,7 +334,7 @@
   struct part *part = g_new0 (struct part, 1);
   const struct iv_cap_row *own;
   part->name = g_strdup (name);
-  part->rows = get_rows (parts->rows, name);
+  part->rows = iv_cap_rows_get (parts->rows, name);
   part->cap = *cap;
   part->hold = IV_CAP_WHOLE;
   g_hash_table_insert (parts->by_name, part->name, part);
@@ -831,10 +630,10 @@
   static const struct iv_resources none = { 0 };
   struct iv_resources over = { 0 };
   struct iv_resources own = amounts_of (part, fraction_of (parts, part, parts->cell), &none);
-  for (guint i = 0; i < RESOURCES; i++)
-    if (get_amount (&own, i) >= 0)
-      *amount_at (&over, i)
-          = CLAMP (get_amount (&part->used, i) - get_amount (&own, i), 0, AMOUNT_MAX);
+  for (guint i = 0; i < IV_CAP_RESOURCES; i++)
+    if (iv_cap_amount (&own, i) >= 0)
+      *iv_cap_amount_at (&over, i)
+          = CLAMP (iv_cap_amount (&part->used, i) - iv_cap_amount (&own, i), 0, IV_CAP_AMOUNT_MAX);
   part->over_possible &= !is_zero (&over);
   return part->over_possible ? over : none;
 }
