Deduct for a raised cap whose record is read late

The record of a skipped raised cap may be read after the next version was applied; the records are now compared at each step too.

--- a/workspace/cap_parts.c
+++ b/workspace/cap_parts.c
@@ -786,6 +786,8 @@
       struct iv_cap_limit limit;
       if (part->rows == NULL)
         continue;
+      /* A record of a raised cap may be read after a newer version. */
+      begin_lowering_from_rows (parts, part, now_ms);
       if (part->demand_round != parts->round)
         part->used = part->wanted = none;
       queued += step_part (parts, part, now_ms, queued < CHANGES_PER_STEP_MAX, emit, context);
--- a/workspace/tests/cap_parts_test.c
+++ b/workspace/tests/cap_parts_test.c
@@ -785,6 +785,31 @@
   end_play (&play);
 }
 
+/* Guards against a record of a raised cap that is read after the next version, and ignored. */
+static void
+test_late_record_of_a_raised_cap_is_deducted (void **state)
+{
+  struct play play;
+  begin_play (&play, 2, 1, 10000, 0);
+  run_until (&play, play.now_ms + 500);
+  for (guint i = 0; i < 2; i++)
+    play.cells[i].next_apply_ms = G_MAXINT64;
+  play.cells[0].next_read_ms = G_MAXINT64;
+  add_version (&play, 20000, 0);
+  configure (&play, &play.cells[1]);
+  add_version (&play, 10000, 0);
+  configure (&play, &play.cells[0]);
+  run_until (&play, play.now_ms + 500);
+  assert_int_equal (cpu_limit (&play, 0), 5000);
+  play.cells[0].next_read_ms = 0;
+  run_until (&play, play.now_ms + 1000);
+  assert_int_equal (cpu_limit (&play, 0), 0);
+  configure (&play, &play.cells[1]);
+  run_until (&play, play.now_ms + 1000);
+  assert_int_equal (cpu_limit (&play, 0), 5000);
+  end_play (&play);
+}
+
 /* Guards against a cell that never gets its share from another that always has work. */
 static void
 test_cells_that_both_want_share (void **state)
@@ -957,6 +982,7 @@
           cmocka_unit_test (test_new_owner_deducts_too),
           cmocka_unit_test (test_new_owner_reports_tasks_from_before_the_cap),
           cmocka_unit_test (test_skipped_raised_cap_is_deducted),
+          cmocka_unit_test (test_late_record_of_a_raised_cap_is_deducted),
           cmocka_unit_test (test_nothing_starves_beside_a_free_half),
           cmocka_unit_test (test_sum_never_exceeds_the_cap),
           cmocka_unit_test (test_cost_of_many_workspaces) };
