--- a/workspace/cap_private.h
+++ b/workspace/cap_private.h
@@ -29,7 +29,8 @@
 gint64 *iv_cap_amount_at (struct iv_resources *amounts, guint index);
 gint64 iv_cap_amount (const struct iv_resources *amounts, guint index);
 
-/** Records of the workspace @a name, which is added when it is new; NULL when there are too many. */
+/** Records of the workspace @a name, which is added when it is new; NULL when there are too many.
+ */
 struct iv_cap_name_rows *iv_cap_rows_get (const struct iv_cap_rows *rows, const char *name);
 
 #endif
--- a/workspace/cap_rows.c
+++ b/workspace/cap_rows.c
@@ -16,7 +16,8 @@
 gint64
 iv_cap_amount (const struct iv_resources *amounts, guint index)
 {
-  const gint64 fields[IV_CAP_RESOURCES] = { amounts->cpu_milli, amounts->mem_mb, amounts->accelerators };
+  const gint64 fields[IV_CAP_RESOURCES]
+      = { amounts->cpu_milli, amounts->mem_mb, amounts->accelerators };
   return fields[index];
 }
 
