--- a/jobs/moves.c
+++ b/jobs/moves.c
@@ -135,7 +135,7 @@
   const ivj_job *spec = &exec->job->spec;
   struct iv_move_needs needs = { 0 };
   struct iv_queue_policy policy;
-  guint cell = (guint)owner->effects.cell;
+  guint cell;
   if (owner->effects.choose_cell == NULL || exec->job->moved_to >= 0 || !is_unstarted (owner, exec)
       || iv_job_is_long_running (spec) || names_rack (spec)
       || !owner->effects.queue (owner->effects.context, spec->host, spec->prefix, &policy))
--- a/jobs/owner_workspaces.c
+++ b/jobs/owner_workspaces.c
@@ -225,8 +225,11 @@
       for (guint i = 0; i < runs->len; i++)
         {
           const struct iv_run *run = g_ptr_array_index (runs, i);
-          const ivj_step *step = step_of (run, job);
-          if (step && run->number <= owner->run_base && strcmp (run->name.job, job->id) == 0)
+          const ivj_step *step;
+          if (run->number > owner->run_base || strcmp (run->name.job, job->id) != 0)
+            continue;
+          step = step_of (run, job);
+          if (step)
             iv_workspace_account_use (account, step, 1);
         }
     }
