--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -48,9 +48,6 @@
   target/daemon/ibisvaned --config "$work/$i.yaml" >"$work/$i.log" 2>&1 &
   pids="$pids $!"
 done
-(sleep 115; kill -KILL "$world" 2>/dev/null) &
-guard=$!
-pids="$pids $guard"
 wait "$world"
 code=$?
 [ -z "${KEEP_LOGS:-}" ] || cp "$work"/*.log "$KEEP_LOGS"
