Do not refuse with 503 a job that may still be stored

Callers saw 504 for a submission at a host that was cut off from the store, 503 ("not accepted, never runs") for its repeat there 0.9 s later, and the job ran when the store answered. Other hosts refused so the repeat of a job that was pending, or accepted, elsewhere.

Cause: after 2.5 s without a response the recorder completed its entries for good and went on sending them, so the host forgot ids that it might still store. And no host can know what others are appending.

Change: IV_ERR_TIMEOUT comes before the outcome now, and the id stays pending until that is known.

--- a/daemon/cell_task.c
+++ b/daemon/cell_task.c
@@ -678,6 +678,7 @@
                                       .move_job = move_job,
                                       .workspace_limit = get_workspace_limit,
                                       .workspace_weight = get_workspace_weight };
+  static const struct iv_recorder_times recorder_times = { .batch_delay = RECORD_BATCH_DELAY_MS };
   struct iv_worker_reply_handlers callbacks
       = { task, on_start_replied, on_stop_replied, on_poll_replied, on_advice_replied };
   struct iv_stream_options options = { .topic = IV_TOPIC_WORKERS,
@@ -713,9 +714,8 @@
   task->next_model_ms = iv_cell_task_now_ms (task) + MODEL_INTERVAL_MS;
   task->calls = iv_worker_calls_new (task->deps.workers, task->deps.loop, task->deps.worker_limits,
                                      &callbacks);
-  task->recorder
-      = iv_recorder_new (task->deps.loop, task->deps.deadlines, task->deps.store, IV_TOPIC_JOBS,
-                         task->writer, task->term, RECORD_BATCH_DELAY_MS, 0);
+  task->recorder = iv_recorder_new (task->deps.loop, task->deps.deadlines, task->deps.store,
+                                    IV_TOPIC_JOBS, task->writer, task->term, &recorder_times);
   iv_recorder_set_sequence (task->recorder, task->claim_sequence + 1);
   task->workers = iv_stream_new (task->deps.loop, task->deps.deadlines, task->deps.store, &options);
   iv_stream_set_read_delay (
--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -461,8 +461,10 @@
                                      .has_capacity = has_capacity };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
-  deps.recorder = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1,
-                                   ACCEPT_BATCH_DELAY_MS, ACCEPT_UNKNOWN_TIMEOUT_MS);
+  const struct iv_recorder_times times
+      = { .batch_delay = ACCEPT_BATCH_DELAY_MS, .unknown_timeout = ACCEPT_UNKNOWN_TIMEOUT_MS };
+  deps.recorder
+      = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1, &times);
   g_free (writer);
   app->recorder = deps.recorder;
   app->front = iv_front_task_new (&deps);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -31,6 +31,15 @@
   GHashTable *pending_submissions; /* job id to struct store_wait of its first submission */
 };
 
+/* What a request waits for: a read, or the append of its record. */
+enum store_wait_kind
+{
+  WAIT_READ,
+  WAIT_SUBMISSION,
+  WAIT_REPEAT, /* the append of the first submission of the same job */
+  WAIT_CANCEL
+};
+
 /* A request that waits for the store. A stored record takes effect only when it comes back through
    the stream, like records of other hosts: an owner that was replaced meanwhile then reads the
    claim of the next owner first. */
@@ -42,10 +51,11 @@
   char *workspace;                 /* storage of `caller.workspace` */
   struct iv_deadline deadline;
   char id[IV_JOB_ID_LEN + 1];
-  gboolean cancel;
-  gboolean shows_state; /* at the deadline, the state last read is told */
+  enum store_wait_kind kind;
+  gboolean shows_state;     /* at the deadline, the state last read is told */
+  gboolean outcome_unknown; /* reported so; the record may still be stored */
   gint64 since_ms;
-  GPtrArray *duplicates; /* of struct store_wait: submissions of the same job since; NULL: none */
+  GPtrArray *repeats; /* of struct store_wait: submissions of the same job since; NULL: none */
 };
 
 static void
@@ -94,6 +104,21 @@
   return text;
 }
 
+static gboolean
+is_submission (const struct iv_http_request *request)
+{
+  return strcmp (iv_http_method (request), "POST") == 0;
+}
+
+/* Status of a refusal for a reason that passes. 503 tells the caller of a submission that its job
+   never runs, which this host cannot know: another one may have accepted it, or may still be
+   appending it. */
+static int
+refusal_status (const struct iv_http_request *request)
+{
+  return is_submission (request) ? 504 : 503;
+}
+
 static void
 reject_unavailable (const struct iv_front_task *task, struct iv_http_request *request,
                     const char *id)
@@ -102,7 +127,7 @@
                           iv_stream_unreachable_ms (task->deps.jobs));
   guint advice_s = iv_retry_after_outage_s (lasted_ms, g_random_double ());
   char text[RETRY_TEXT_SIZE];
-  reject_with_retry (request, 503, id, "the store is not available",
+  reject_with_retry (request, refusal_status (request), id, "the store is not available",
                      format_retry (task, advice_s, RETRY_STORE_S, text));
 }
 
@@ -112,12 +137,14 @@
 {
   struct iv_stream_progress progress = iv_stream_load_progress (task->deps.jobs);
   gint64 lasted_ms = iv_stream_unreachable_ms (task->deps.jobs);
+  gboolean configured = task->deps.routes (task->deps.context) != NULL;
+  int status = configured ? refusal_status (request) : 503; /* as the platform asks */
   double random = g_random_double ();
   char text[RETRY_TEXT_SIZE];
   guint advice_s = lasted_ms > 0 ? iv_retry_after_outage_s (lasted_ms, random)
                                  : iv_retry_after_loading_s (progress.lasted_ms, progress.loaded,
                                                              progress.total, random);
-  reject_with_retry (request, 503, "", "starting",
+  reject_with_retry (request, status, "", "starting",
                      format_retry (task, advice_s, RETRY_STORE_S, text));
 }
 
@@ -127,7 +154,7 @@
 {
   guint advice_s = iv_retry_after_capacity_s (g_random_double ());
   char text[RETRY_TEXT_SIZE];
-  reject_with_retry (request, 503, id, "no room for more that lasts",
+  reject_with_retry (request, refusal_status (request), id, "no room for more that lasts",
                      format_retry (task, advice_s, RETRY_CAPACITY_S, text));
 }
 
@@ -155,6 +182,8 @@
                                                    [IV_ACCESS_UNCONFIRMED] = retry,
                                                    [IV_ACCESS_VERDICTS] = NULL };
   const struct iv_routes *routes = task->deps.routes (task->deps.context);
+  int status
+      = verdict == IV_ACCESS_UNCONFIRMED ? refusal_status (request) : iv_access_status (verdict);
   if (routes->workspaces)
     count_access (verdict);
   if (verdict == IV_ACCESS_GRANTED)
@@ -162,11 +191,10 @@
   iv_event (IV_LEVEL_INFO, "access.refused",
             "job=%s verdict=%s status=%d workspace=%s version=%" G_GINT64_FORMAT
             " config_age_ms=%" G_GINT64_FORMAT,
-            *id ? id : "-", iv_access_name (verdict), iv_access_status (verdict),
+            *id ? id : "-", iv_access_name (verdict), status,
             *caller->workspace ? iv_quote (caller->workspace) : "-", routes->version,
             task->deps.config_age_ms (task->deps.context));
-  respond_reason (request, iv_access_status (verdict), iv_access_reason (verdict),
-                  headers[verdict]);
+  respond_reason (request, status, iv_access_reason (verdict), headers[verdict]);
   return FALSE;
 }
 
@@ -187,20 +215,6 @@
   g_free (json);
 }
 
-static void
-on_deadline (void *context)
-{
-  struct store_wait *store_wait = context;
-  struct iv_http_request *request = store_wait->request;
-  const struct iv_job_entry *job
-      = iv_job_table_find (store_wait->task->deps.job_table, store_wait->id);
-  store_wait->request = NULL;
-  if (store_wait->shows_state && job)
-    respond_state (request, job);
-  else
-    reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
-}
-
 static gint64
 deadline_of (const struct iv_front_task *task, const struct iv_http_request *request)
 {
@@ -211,13 +225,16 @@
   return (gint64)uv_now (task->deps.loop) + MAX (wait - RESPONSE_MARGIN_MS, wait / 2);
 }
 
+static void on_deadline (void *context);
+
 static struct store_wait *
 store_wait_new (struct iv_front_task *task, struct iv_http_request *request,
-                const struct iv_access_caller *caller, const char *id)
+                const struct iv_access_caller *caller, const char *id, enum store_wait_kind kind)
 {
   struct store_wait *store_wait = g_new0 (struct store_wait, 1);
   store_wait->task = task;
   store_wait->request = request;
+  store_wait->kind = kind;
   store_wait->workspace = g_strdup (caller->workspace);
   store_wait->caller = *caller;
   store_wait->caller.workspace = store_wait->workspace;
@@ -230,11 +247,14 @@
 }
 
 static void
-store_wait_free (struct store_wait *store_wait)
+store_wait_free (gpointer data)
 {
+  struct store_wait *store_wait = data;
   iv_deadline_unset (store_wait->task->deps.deadlines, &store_wait->deadline);
-  if (store_wait->duplicates)
-    g_ptr_array_free (store_wait->duplicates, TRUE);
+  if (store_wait->kind == WAIT_SUBMISSION)
+    g_hash_table_remove (store_wait->task->pending_submissions, store_wait->id);
+  if (store_wait->repeats)
+    g_ptr_array_free (store_wait->repeats, TRUE);
   g_free (store_wait->workspace);
   g_free (store_wait);
 }
@@ -257,7 +277,7 @@
 on_stored (void *context, enum iv_status status, gint64 end)
 {
   struct store_wait *store_wait = context;
-  iv_event (IV_LEVEL_INFO, store_wait->cancel ? "job.cancel_stored" : "job.accepted",
+  iv_event (IV_LEVEL_INFO, store_wait->kind == WAIT_CANCEL ? "job.cancel_stored" : "job.accepted",
             "job=%s outcome=%s offset=%" G_GINT64_FORMAT "%s%s", store_wait->id,
             iv_status_name (status), end, *store_wait->workspace ? " workspace=" : "",
             *store_wait->workspace ? iv_quote (store_wait->workspace) : "");
@@ -265,15 +285,27 @@
                                       "Time from a request to the store's response, in ms."),
                     (gint64)uv_now (store_wait->task->deps.loop) - store_wait->since_ms);
   respond_stored (store_wait, status);
-  for (guint i = 0; store_wait->duplicates && i < store_wait->duplicates->len; i++)
-    {
-      struct store_wait *duplicate = g_ptr_array_index (store_wait->duplicates, i);
-      respond_stored (duplicate, status);
-      store_wait_free (duplicate);
-    }
-  if (!store_wait->cancel)
-    g_hash_table_remove (store_wait->task->pending_submissions, store_wait->id);
-  store_wait_free (store_wait);
+  for (guint i = 0; store_wait->repeats && i < store_wait->repeats->len; i++)
+    respond_stored (g_ptr_array_index (store_wait->repeats, i), status);
+  store_wait->outcome_unknown = status == IV_ERR_TIMEOUT;
+  if (!store_wait->outcome_unknown)
+    store_wait_free (store_wait);
+}
+
+static void
+on_deadline (void *context)
+{
+  struct store_wait *store_wait = context;
+  struct iv_front_task *task = store_wait->task;
+  struct iv_http_request *request = store_wait->request;
+  const struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, store_wait->id);
+  store_wait->request = NULL;
+  if (request == NULL)
+    return;
+  if (store_wait->shows_state && job)
+    respond_state (request, job);
+  else
+    reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
 }
 
 /* The last append did not reach the store and a retry is in progress: a new record would only queue
@@ -322,7 +354,7 @@
       return;
     }
   record_queue (task, route);
-  store_wait = store_wait_new (task, request, caller, id);
+  store_wait = store_wait_new (task, request, caller, id, WAIT_SUBMISSION);
   g_hash_table_insert (task->pending_submissions, store_wait->id, store_wait);
   iv_recorder_add (task->deps.recorder, id, bytes->data, bytes->len, on_stored, store_wait);
   g_byte_array_free (bytes, TRUE);
@@ -337,18 +369,25 @@
   return task->deps.has_capacity (task->deps.context, &job);
 }
 
-/* Waits for the outcome of the first submission of the same job. */
+/* The first submission of the same job may still be stored: only its outcome answers this one. */
 static void
 submit_again (struct iv_front_task *task, struct iv_http_request *request,
               const struct iv_access_caller *caller, struct store_wait *first)
 {
   enum iv_access access
       = iv_access_to_job (caller, first->caller.public_access, first->caller.workspace);
+  struct store_wait *repeat;
   if (!is_admitted (task, request, caller, first->id, access))
     return;
-  if (first->duplicates == NULL)
-    first->duplicates = g_ptr_array_new ();
-  g_ptr_array_add (first->duplicates, store_wait_new (task, request, caller, first->id));
+  if (first->outcome_unknown)
+    {
+      reject_unavailable (task, request, first->id);
+      return;
+    }
+  repeat = store_wait_new (task, request, caller, first->id, WAIT_REPEAT);
+  if (first->repeats == NULL)
+    first->repeats = g_ptr_array_new_with_free_func (store_wait_free);
+  g_ptr_array_add (first->repeats, repeat);
 }
 
 static void
@@ -399,8 +438,7 @@
       reject_unavailable (task, request, job->id);
       return;
     }
-  store_wait = store_wait_new (task, request, caller, job->id);
-  store_wait->cancel = TRUE;
+  store_wait = store_wait_new (task, request, caller, job->id, WAIT_CANCEL);
   g_snprintf (key, sizeof key, "%s" IV_KEY_CANCEL, job->id);
   iv_recorder_add (task->deps.recorder, key, "1", 1, on_stored, store_wait);
 }
@@ -450,7 +488,7 @@
       respond_state (request, job);
       return;
     }
-  store_wait = store_wait_new (task, request, caller, job->id);
+  store_wait = store_wait_new (task, request, caller, job->id, WAIT_READ);
   store_wait->shows_state = TRUE;
   iv_deadline_set (task->deps.deadlines, &store_wait->deadline,
                    MIN (store_wait->deadline.at_ms, store_wait->since_ms + STATE_WAIT_MS));
@@ -465,7 +503,8 @@
   struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, id);
   if (job == NULL)
     {
-      iv_stream_barrier (task->deps.jobs, on_caught_up, store_wait_new (task, request, caller, id));
+      iv_stream_barrier (task->deps.jobs, on_caught_up,
+                         store_wait_new (task, request, caller, id, WAIT_READ));
       return;
     }
   if (!is_admitted (task, request, caller, id, job_access (task, caller, job)))
@@ -579,6 +618,7 @@
   const struct iv_limit_settings *settings = &task->deps.settings->limits;
   struct iv_http_limits limits = { .body_bytes_max = BODY_BYTES_MAX,
                                    .requests_max = (guint)settings->requests,
+                                   .overload_status = 504, /* see refusal_status() */
                                    .connections_max = (guint)settings->connections,
                                    .request_read_timeout_ms = settings->read_timeout_ms };
   char ip[64];
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -6,8 +6,9 @@
  * Where the configuration has workspaces, a request needs a key of one, unless its queue is public
  * (access.h). A request is judged by the configuration in force when it arrives.
  *
- * A submission is answered with 200 once the job's record is stored, with a rejection only if
- * nothing was stored, and with 504 if the outcome is unknown.
+ * A submission is answered with 200 once the job's record is stored, and else with 504: that a job
+ * never runs cannot be told while another host may be appending it. Without a configuration it is
+ * answered with 503.
  */
 #ifndef IV_FRONT_TASK_H
 #define IV_FRONT_TASK_H
--- a/daemon/recorder.c
+++ b/daemon/recorder.c
@@ -24,15 +24,15 @@
   char *writer;
   gint64 epoch;
   gint64 sequence;
-  gint64 batch_delay_ms;
-  gint64 unknown_timeout_ms;
+  struct iv_recorder_times times;
   struct iv_deadline flush;
   GByteArray *queued_body;
   GArray *queued_entries; /* of struct entry */
   GByteArray *sent_body;  /* NULL when no append is in progress */
   GArray *sent_entries;
   gboolean call_pending;
-  gboolean outcome_unknown; /* an attempt to append sent_body had no response */
+  gboolean outcome_unknown;  /* an attempt to append sent_body had no response */
+  gboolean timeout_reported; /* its entries were told IV_ERR_TIMEOUT */
   gboolean store_unreachable;
   gboolean closed;
   gint64 unreachable_since_ms; /* while store_unreachable */
@@ -64,7 +64,7 @@
 }
 
 static void
-complete_entries (GArray *entries, enum iv_status status, gint64 end)
+report_entries (const GArray *entries, enum iv_status status, gint64 end)
 {
   for (guint i = 0; i < entries->len; i++)
     {
@@ -72,7 +72,6 @@
       if (entry->done)
         entry->done (entry->context, status, end);
     }
-  g_array_set_size (entries, 0);
 }
 
 static void
@@ -83,10 +82,11 @@
   recorder->sent_body = NULL;
   recorder->sent_entries = NULL;
   recorder->outcome_unknown = FALSE;
+  recorder->timeout_reported = FALSE;
   recorder->retry_delay_ms = 0;
   if (recorder->queued_entries->len > 0)
-    schedule_flush (recorder, recorder->batch_delay_ms);
-  complete_entries (entries, status, end);
+    schedule_flush (recorder, recorder->times.batch_delay);
+  report_entries (entries, status, end);
   g_array_free (entries, TRUE);
 }
 
@@ -95,25 +95,38 @@
 {
   recorder->retry_delay_ms = MIN (MAX (recorder->retry_delay_ms * 2, RETRY_FIRST_MS), RETRY_MAX_MS);
   schedule_flush (recorder, recorder->retry_delay_ms + g_random_int_range (0, RETRY_FIRST_MS));
-  if (recorder->outcome_unknown && recorder->unknown_timeout_ms > 0
-      && (gint64)uv_now (recorder->loop) > recorder->first_sent_ms + recorder->unknown_timeout_ms)
-    complete_entries (recorder->sent_entries, IV_ERR_TIMEOUT, 0);
+  if (!recorder->outcome_unknown || recorder->timeout_reported
+      || recorder->times.unknown_timeout == 0
+      || (gint64)uv_now (recorder->loop)
+             <= recorder->first_sent_ms + recorder->times.unknown_timeout)
+    return;
+  recorder->timeout_reported = TRUE;
+  report_entries (recorder->sent_entries, IV_ERR_TIMEOUT, 0);
 }
 
-static void
-on_appended (void *context, enum iv_store_outcome outcome, gint64 end)
+/* Ends the call in progress. FALSE when the recorder was closed meanwhile; it is freed then. */
+static gboolean
+end_call (struct iv_recorder *recorder, enum iv_store_outcome outcome)
 {
-  struct iv_recorder *recorder = context;
   gboolean was_unreachable = recorder->store_unreachable;
   recorder->call_pending = FALSE;
   if (recorder->closed)
     {
       free_recorder (recorder);
-      return;
+      return FALSE;
     }
   recorder->store_unreachable = outcome == IV_STORE_NOT_DONE || outcome == IV_STORE_UNKNOWN;
   if (recorder->store_unreachable && !was_unreachable)
     recorder->unreachable_since_ms = recorder->first_sent_ms;
+  return TRUE;
+}
+
+static void
+on_appended (void *context, enum iv_store_outcome outcome, gint64 end)
+{
+  struct iv_recorder *recorder = context;
+  if (!end_call (recorder, outcome))
+    return;
   switch (outcome)
     {
     case IV_STORE_OK:
@@ -147,6 +160,19 @@
     }
 }
 
+/* Removes @a count queued entries from @a first on, with their records. */
+static void
+remove_queued (struct iv_recorder *recorder, guint first, guint count)
+{
+  GArray *queued = recorder->queued_entries;
+  guint start = first > 0 ? g_array_index (queued, struct entry, first - 1).body_end : 0;
+  guint bytes = g_array_index (queued, struct entry, first + count - 1).body_end - start;
+  g_byte_array_remove_range (recorder->queued_body, start, bytes);
+  g_array_remove_range (queued, first, count);
+  for (guint i = first; i < queued->len; i++)
+    g_array_index (queued, struct entry, i).body_end -= bytes;
+}
+
 /* Takes the queued records that fit into one append, or a larger first one alone. */
 static void
 take_queued (struct iv_recorder *recorder)
@@ -159,12 +185,9 @@
   bytes = g_array_index (queued, struct entry, count - 1).body_end;
   recorder->sent_body = g_byte_array_sized_new (bytes);
   g_byte_array_append (recorder->sent_body, recorder->queued_body->data, bytes);
-  g_byte_array_remove_range (recorder->queued_body, 0, bytes);
   recorder->sent_entries = g_array_sized_new (FALSE, FALSE, sizeof (struct entry), count);
   g_array_append_vals (recorder->sent_entries, queued->data, count);
-  g_array_remove_range (queued, 0, count);
-  for (guint i = 0; i < queued->len; i++)
-    g_array_index (queued, struct entry, i).body_end -= bytes;
+  remove_queued (recorder, 0, count);
 }
 
 static void
@@ -189,8 +212,8 @@
 
 struct iv_recorder *
 iv_recorder_new (uv_loop_t *loop, struct iv_deadlines *deadlines, struct iv_store *store,
-                 const char *topic, const char *writer, gint64 epoch, gint64 batch_delay_ms,
-                 gint64 unknown_timeout_ms)
+                 const char *topic, const char *writer, gint64 epoch,
+                 const struct iv_recorder_times *times)
 {
   struct iv_recorder *recorder = g_new0 (struct iv_recorder, 1);
   recorder->loop = loop;
@@ -199,8 +222,7 @@
   recorder->topic = g_strdup (topic);
   recorder->writer = g_strdup (writer);
   recorder->epoch = epoch;
-  recorder->batch_delay_ms = batch_delay_ms;
-  recorder->unknown_timeout_ms = unknown_timeout_ms;
+  recorder->times = *times;
   recorder->queued_body = g_byte_array_new ();
   recorder->queued_entries = g_array_new (FALSE, FALSE, sizeof (struct entry));
   recorder->flush.fire = on_flush;
@@ -221,9 +243,9 @@
     return;
   recorder->closed = TRUE;
   iv_deadline_unset (recorder->deadlines, &recorder->flush);
-  complete_entries (recorder->queued_entries, IV_ERR_STALE, 0);
+  report_entries (recorder->queued_entries, IV_ERR_STALE, 0);
   if (recorder->sent_body)
-    complete_entries (recorder->sent_entries, IV_ERR_STALE, 0);
+    report_entries (recorder->sent_entries, IV_ERR_STALE, 0);
   if (!recorder->call_pending)
     free_recorder (recorder);
 }
@@ -238,7 +260,7 @@
   entry.body_end = recorder->queued_body->len;
   g_array_append_val (recorder->queued_entries, entry);
   if (recorder->sent_body == NULL && !recorder->flush.set)
-    schedule_flush (recorder, recorder->batch_delay_ms);
+    schedule_flush (recorder, recorder->times.batch_delay);
   else if (recorder->queued_body->len > BODY_BYTES_MAX && recorder->sent_body == NULL)
     schedule_flush (recorder, 0);
 }
--- a/daemon/recorder.h
+++ b/daemon/recorder.h
@@ -12,21 +12,27 @@
 #include "status.h"
 #include "store.h"
 
-/** Called with the outcome of a record: IV_OK, IV_ERR_UNAVAILABLE (nothing was stored),
- *  IV_ERR_TIMEOUT (it may be stored, now or later) or IV_ERR_STALE (a newer writer has begun, or
- *  the recorder was closed). @a end is the end offset of the topic after the append, or 0. */
+/** Called with the outcome of a record: IV_OK, IV_ERR_UNAVAILABLE (nothing was stored) or
+ *  IV_ERR_STALE (a newer writer has begun, or the recorder was closed: it may be stored, but
+ * nothing is sent any more). IV_ERR_TIMEOUT comes before the outcome, at most once: it may be
+ * stored, now or later. @a end is the end offset of the topic after the append, or 0. */
 typedef void (*iv_recorder_done_fn) (void *context, enum iv_status status, gint64 end);
 
+/** Times of a recorder, in ms; 0: no limit. */
+struct iv_recorder_times
+{
+  gint64 batch_delay; /**< waited for more records before an append */
+  /** After this a record whose outcome is unknown is reported with IV_ERR_TIMEOUT. */
+  gint64 unknown_timeout;
+};
+
 /** Queued records and the append in progress. */
 struct iv_recorder;
 
-/** Create a recorder that appends to @a topic as @a writer (both copied) under @a epoch, and waits
- *  @a batch_delay_ms for more records before each append. After @a unknown_timeout_ms a record
- *  whose outcome is still unknown completes with IV_ERR_TIMEOUT; 0: never. */
+/** Create a recorder that appends to @a topic as @a writer (both copied) under @a epoch. */
 struct iv_recorder *iv_recorder_new (uv_loop_t *loop, struct iv_deadlines *deadlines,
                                      struct iv_store *store, const char *topic, const char *writer,
-                                     gint64 epoch, gint64 batch_delay_ms,
-                                     gint64 unknown_timeout_ms);
+                                     gint64 epoch, const struct iv_recorder_times *times);
 
 /** Set the sequence number of the next append; the default is 0. */
 void iv_recorder_set_sequence (struct iv_recorder *recorder, gint64 sequence);
--- a/edge/http_server.c
+++ b/edge/http_server.c
@@ -112,8 +112,11 @@
     }
   if (server->pending >= server->limits.requests_max)
     {
-      send_json (req, 503, "Service Unavailable",
-                 "{\"outcome\":\"not_run\",\"reason\":\"overloaded\"}\n");
+      if (server->limits.overload_status == 504)
+        send_json (req, 504, "Gateway Timeout", "{\"reason\":\"overloaded\"}\n");
+      else
+        send_json (req, 503, "Service Unavailable",
+                   "{\"outcome\":\"not_run\",\"reason\":\"overloaded\"}\n");
       return 0;
     }
   request = g_new0 (struct iv_http_request, 1);
--- a/edge/http_server.h
+++ b/edge/http_server.h
@@ -29,9 +29,11 @@
 struct iv_http_limits
 {
   gsize body_bytes_max;           /**< larger bodies get status 413 */
-  guint requests_max;             /**< requests without a response; further ones get status 503 */
+  guint requests_max;             /**< requests without a response; further ones are refused */
   guint connections_max;          /**< further connections are closed at once */
   gint64 request_read_timeout_ms; /**< for a caller to send a complete request */
+  int overload_status; /**< of requests beyond requests_max: 503, or 504 where it must not
+                          be told that nothing runs; 0: 503 */
 };
 
 /** A listening server. */
