Send no submission long after it came

Callers were told 504 and the host went on sending the append for as long as the store was away from it: the job could be stored after the same job had been stored by another host, had ended and had been removed, and ran again.

Change: no attempt to append a submission begins later than half of the retention time, at most 60 s, after it came, by a clock that counts time suspended. One that was sent without a response by then is fenced: an empty append moves the writer to a later epoch, and the store rejects late attempts. A record that was not sent yet is withdrawn when nobody waits for it any longer.

Tests: streams, test_old_records_are_not_sent and test_withdrawn_records_are_not_sent; front_task, test_unsent_submission_is_withdrawn.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -26,6 +26,7 @@
 #define STANDBY_LOAD_DELAY_MS 600
 #define ACCEPT_BATCH_DELAY_MS 2
 #define ACCEPT_UNKNOWN_TIMEOUT_MS 2500 /* callers wait about this long */
+#define ACCEPT_MAX_AGE_MS 60000
 /* The load balancer removes a host after two failed checks, one second apart. */
 #define UNREADY_BEFORE_STOP_MS 2500
 #define SHUTDOWN_POLL_MS 50
@@ -461,8 +462,11 @@
                                      .has_capacity = has_capacity };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
+  /* Ended jobs, which are kept for the retention time, outlast every submission. */
   const struct iv_recorder_times times
-      = { .batch_delay = ACCEPT_BATCH_DELAY_MS, .unknown_timeout = ACCEPT_UNKNOWN_TIMEOUT_MS };
+      = { .batch_delay = ACCEPT_BATCH_DELAY_MS,
+          .unknown_timeout = ACCEPT_UNKNOWN_TIMEOUT_MS,
+          .max_age = MIN (ACCEPT_MAX_AGE_MS, app->settings->fleet.job_retention_ms / 2) };
   deps.recorder
       = iv_recorder_new (app->loop, app->deadlines, app->store, IV_TOPIC_JOBS, writer, 1, &times);
   g_free (writer);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -55,6 +55,7 @@
   gboolean shows_state;     /* at the deadline, the state last read is told */
   gboolean outcome_unknown; /* reported so; the record may still be stored */
   gint64 since_ms;
+  struct store_wait *first; /* whose repeat this is */
   GPtrArray *repeats; /* of struct store_wait: submissions of the same job since; NULL: none */
 };
 
@@ -292,11 +293,21 @@
     store_wait_free (store_wait);
 }
 
+static gboolean
+has_waiting_request (const struct store_wait *store_wait)
+{
+  for (guint i = 0; store_wait->repeats && i < store_wait->repeats->len; i++)
+    if (((const struct store_wait *)g_ptr_array_index (store_wait->repeats, i))->request)
+      return TRUE;
+  return store_wait->request != NULL;
+}
+
 static void
 on_deadline (void *context)
 {
   struct store_wait *store_wait = context;
   struct iv_front_task *task = store_wait->task;
+  struct store_wait *submission = store_wait->kind == WAIT_REPEAT ? store_wait->first : store_wait;
   struct iv_http_request *request = store_wait->request;
   const struct iv_job_entry *job = iv_job_table_find (task->deps.job_table, store_wait->id);
   store_wait->request = NULL;
@@ -306,6 +317,12 @@
     respond_state (request, job);
   else
     reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
+  if (submission->kind == WAIT_SUBMISSION && !has_waiting_request (submission)
+      && iv_recorder_withdraw (task->deps.recorder, on_stored, submission))
+    {
+      iv_event (IV_LEVEL_INFO, "job.withdrawn_unstored", "job=%s", submission->id);
+      store_wait_free (submission);
+    }
 }
 
 /* The last append did not reach the store and a retry is in progress: a new record would only queue
@@ -385,6 +402,7 @@
       return;
     }
   repeat = store_wait_new (task, request, caller, first->id, WAIT_REPEAT);
+  repeat->first = first;
   if (first->repeats == NULL)
     first->repeats = g_ptr_array_new_with_free_func (store_wait_free);
   g_ptr_array_add (first->repeats, repeat);
--- a/daemon/recorder.c
+++ b/daemon/recorder.c
@@ -1,5 +1,6 @@
 #include "recorder.h"
 
+#include "clock.h"
 #include "event.h"
 #include "histogram.h"
 
@@ -12,7 +13,8 @@
 {
   iv_recorder_done_fn done;
   void *context;
-  guint body_end; /* where its record ends in the body */
+  guint body_end;       /* where its record ends in the body */
+  gint64 added_boot_ms; /* iv_clock_boot_ms() time */
 };
 
 struct iv_recorder
@@ -160,6 +162,34 @@
     }
 }
 
+/* The next append begins one epoch later again: whether the empty one has used up a sequence number
+   does not matter then. */
+static void
+on_epoch_set (void *context, enum iv_store_outcome outcome, gint64 end)
+{
+  struct iv_recorder *recorder = context;
+  if (!end_call (recorder, outcome))
+    return;
+  if (recorder->store_unreachable || outcome == IV_STORE_EXPIRED)
+    {
+      retry (recorder);
+      return;
+    }
+  iv_event (IV_LEVEL_WARNING, "record.abandoned", "writer=%s epoch=%" G_GINT64_FORMAT " records=%u",
+            recorder->writer, recorder->epoch, recorder->sent_entries->len);
+  recorder->epoch += 2;
+  recorder->sequence = 0;
+  finish (recorder, IV_ERR_STALE, 0);
+}
+
+static gboolean
+is_overdue (const struct iv_recorder *recorder, const GArray *entries)
+{
+  return recorder->times.max_age > 0 && entries->len > 0
+         && iv_clock_boot_ms ()
+                > g_array_index (entries, struct entry, 0).added_boot_ms + recorder->times.max_age;
+}
+
 /* Removes @a count queued entries from @a first on, with their records. */
 static void
 remove_queued (struct iv_recorder *recorder, guint first, guint count)
@@ -173,6 +203,18 @@
     g_array_index (queued, struct entry, i).body_end -= bytes;
 }
 
+static void
+drop_overdue (struct iv_recorder *recorder)
+{
+  while (is_overdue (recorder, recorder->queued_entries))
+    {
+      struct entry entry = g_array_index (recorder->queued_entries, struct entry, 0);
+      remove_queued (recorder, 0, 1);
+      if (entry.done)
+        entry.done (entry.context, IV_ERR_UNAVAILABLE, 0);
+    }
+}
+
 /* Takes the queued records that fit into one append, or a larger first one alone. */
 static void
 take_queued (struct iv_recorder *recorder)
@@ -190,6 +232,17 @@
   remove_queued (recorder, 0, count);
 }
 
+/* Rejects late attempts of the append in progress. */
+static void
+set_next_epoch (struct iv_recorder *recorder, gint64 deadline_ms)
+{
+  struct iv_store_writer writer = { recorder->writer, recorder->epoch + 1, 0 };
+  GByteArray *empty = g_byte_array_new ();
+  iv_store_append (recorder->store, recorder->topic, &writer, empty, deadline_ms, on_epoch_set,
+                   recorder);
+  g_byte_array_free (empty, TRUE);
+}
+
 static void
 on_flush (void *context)
 {
@@ -200,14 +253,18 @@
     return;
   if (recorder->sent_body == NULL)
     {
+      drop_overdue (recorder);
       if (recorder->queued_entries->len == 0)
         return;
       take_queued (recorder);
       recorder->first_sent_ms = now;
     }
   recorder->call_pending = TRUE;
-  iv_store_append (recorder->store, recorder->topic, &writer, recorder->sent_body,
-                   now + APPEND_TIMEOUT_MS, on_appended, recorder);
+  if (is_overdue (recorder, recorder->sent_entries))
+    set_next_epoch (recorder, now + APPEND_TIMEOUT_MS);
+  else
+    iv_store_append (recorder->store, recorder->topic, &writer, recorder->sent_body,
+                     now + APPEND_TIMEOUT_MS, on_appended, recorder);
 }
 
 struct iv_recorder *
@@ -254,7 +311,7 @@
 iv_recorder_add (struct iv_recorder *recorder, const char *key, const void *value, gsize len,
                  iv_recorder_done_fn done, void *context)
 {
-  struct entry entry = { done, context, 0 };
+  struct entry entry = { .done = done, .context = context, .added_boot_ms = iv_clock_boot_ms () };
   if (key)
     iv_store_encode_record (recorder->queued_body, key, value, len);
   entry.body_end = recorder->queued_body->len;
@@ -265,6 +322,21 @@
     schedule_flush (recorder, 0);
 }
 
+gboolean
+iv_recorder_withdraw (struct iv_recorder *recorder, iv_recorder_done_fn done, const void *context)
+{
+  gboolean found = FALSE;
+  for (guint i = recorder->queued_entries->len; i-- > 0;)
+    {
+      const struct entry *entry = &g_array_index (recorder->queued_entries, struct entry, i);
+      if (entry->done != done || entry->context != context)
+        continue;
+      remove_queued (recorder, i, 1);
+      found = TRUE;
+    }
+  return found;
+}
+
 gboolean
 iv_recorder_store_unreachable (const struct iv_recorder *recorder)
 {
--- a/daemon/recorder.h
+++ b/daemon/recorder.h
@@ -24,6 +24,11 @@
   gint64 batch_delay; /**< waited for more records before an append */
   /** After this a record whose outcome is unknown is reported with IV_ERR_TIMEOUT. */
   gint64 unknown_timeout;
+  /** No attempt to store a record begins later than this after it was added, including time
+   *  suspended. One that was never sent completes with IV_ERR_UNAVAILABLE. After attempts without a
+   *  response the writer moves on to a later epoch, so that the store rejects them from then on,
+   * and the record completes with IV_ERR_STALE. */
+  gint64 max_age;
 };
 
 /** Queued records and the append in progress. */
@@ -48,6 +53,11 @@
 void iv_recorder_add (struct iv_recorder *recorder, const char *key, const void *value, gsize len,
                       iv_recorder_done_fn done, void *context);
 
+/** Remove the records that were added with @a done and @a context and not sent yet; @a done is not
+ *  called for them. FALSE when there are none: they were sent. */
+gboolean iv_recorder_withdraw (struct iv_recorder *recorder, iv_recorder_done_fn done,
+                               const void *context);
+
 /** Whether the last append was refused, could not be sent or had no response. */
 gboolean iv_recorder_store_unreachable (const struct iv_recorder *recorder);
 
--- a/daemon/tests/front_task_test.c
+++ b/daemon/tests/front_task_test.c
@@ -416,6 +416,15 @@
     uv_run (loop, UV_RUN_ONCE);
 }
 
+static void
+await_held_append (void)
+{
+  gint64 end = (gint64)uv_now (loop) + TIMEOUT_MS;
+  while (store->held->len == 0 && (gint64)uv_now (loop) < end)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_true (store->held->len > 0);
+}
+
 static int
 end_disruptions (void **state)
 {
@@ -466,6 +475,34 @@
   assert_null (iv_job_table_find (job_table, other_path + 3));
 }
 
+/* Guards against a submission that is stored, queued behind a slow one, after its caller has been
+   told that it failed. */
+static void
+test_unsent_submission_is_withdrawn (void **state)
+{
+  static const char path[] = "/q/00000000000000e7";
+  static const char queued_path[] = "/q/00000000000000e8";
+  static struct result submission, queued; /* outlive a failed assertion, as the calls do */
+  set_configuration (without_workspaces);
+  store->appends_to_hold = 1;
+  start_request ("POST", path, NULL, &submission);
+  await_held_append ();
+  wait_ms = "300";
+  start_request ("POST", queued_path, NULL, &queued);
+  while (!queued.done)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (queued.status, 504);
+  wait_ms = NULL;
+  store_standin_release (store);
+  while (!submission.done)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (submission.status, 200);
+  run_for (2 * ACCEPT_BATCH_DELAY_MS);
+  read_to_the_end ();
+  assert_null (iv_job_table_find (job_table, queued_path + 3));
+  assert_int_equal (status_of ("POST", queued_path, NULL), 200);
+}
+
 int
 main (void)
 {
@@ -481,6 +518,7 @@
     cmocka_unit_test (test_host_cut_off_from_the_store),
     cmocka_unit_test (test_no_key_is_logged),
     cmocka_unit_test_teardown (test_no_refusal_of_what_may_be_stored, end_disruptions),
+    cmocka_unit_test_teardown (test_unsent_submission_is_withdrawn, end_disruptions),
   };
   log_lines = g_string_new (NULL);
   g_log_set_writer_func (collect_line, NULL, NULL);
--- a/daemon/tests/streams_test.c
+++ b/daemon/tests/streams_test.c
@@ -361,6 +361,60 @@
   iv_recorder_close (recorder);
 }
 
+/* Guards against a record that is stored long after it was added: its caller may have been told
+   that there is no such job, and what remembers that is kept for a limited time only. */
+static void
+test_old_records_are_not_sent (void **state)
+{
+  static const struct iv_recorder_times times
+      = { .batch_delay = 1, .unknown_timeout = 500, .max_age = 1200 };
+  struct iv_recorder *recorder
+      = iv_recorder_new (loop, deadlines, store, TOPIC, "host-6", 1, &times);
+  struct outcome sent = { 0 }, queued = { 0 }, later = { 0 };
+  standin->appends_to_hold = 2;
+  iv_recorder_add (recorder, "sent", "1", 1, on_recorded, &sent);
+  while (standin->held->len == 0)
+    uv_run (loop, UV_RUN_ONCE);
+  iv_recorder_add (recorder, "queued", "1", 1, on_recorded, &queued);
+  run_until_done (&sent);
+  assert_int_equal (sent.status, IV_ERR_TIMEOUT);
+  sent.done = FALSE;
+  run_until_done (&sent);
+  assert_int_equal (sent.status, IV_ERR_STALE);
+  run_until_done (&queued);
+  assert_int_equal (queued.status, IV_ERR_UNAVAILABLE);
+  store_standin_release (standin);
+  iv_recorder_add (recorder, "later", "1", 1, on_recorded, &later);
+  run_until_done (&later);
+  assert_int_equal (later.status, IV_OK);
+  assert_int_equal (later.end, 1);
+  iv_recorder_close (recorder);
+}
+
+/* Guards against a withdrawn record that is stored, and against others that are not, or as part of
+   another one. */
+static void
+test_withdrawn_records_are_not_sent (void **state)
+{
+  struct iv_recorder *recorder = iv_recorder_new (loop, deadlines, store, TOPIC, "host-7", 1,
+                                                  &(struct iv_recorder_times){ .batch_delay = 1 });
+  struct outcome sent = { 0 }, withdrawn = { 0 }, kept = { 0 };
+  standin->responses_to_drop = 1;
+  iv_recorder_add (recorder, "sent", "1", 1, on_recorded, &sent);
+  while (standin->unanswered->len == 0)
+    uv_run (loop, UV_RUN_ONCE);
+  iv_recorder_add (recorder, "withdrawn", "12345", 5, on_recorded, &withdrawn);
+  iv_recorder_add (recorder, "kept", "1", 1, on_recorded, &kept);
+  assert_true (iv_recorder_withdraw (recorder, on_recorded, &withdrawn));
+  assert_false (iv_recorder_withdraw (recorder, on_recorded, &sent));
+  run_until_done (&kept);
+  assert_int_equal (kept.status, IV_OK);
+  assert_int_equal (kept.end, 2);
+  assert_int_equal (sent.status, IV_OK);
+  assert_false (withdrawn.done);
+  iv_recorder_close (recorder);
+}
+
 static void
 test_older_epoch_is_fenced (void **state)
 {
@@ -425,6 +479,8 @@
     cmocka_unit_test_setup_teardown (test_large_records_take_several_appends, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_lost_response_is_resolved, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_refused_append_is_unavailable, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_old_records_are_not_sent, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_withdrawn_records_are_not_sent, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_older_epoch_is_fenced, set_up, tear_down),
     cmocka_unit_test_setup_teardown (test_group_partitions_and_members, set_up, tear_down),
   };
