Store the cancellation of an id that no job is known for

Cause: 410 rested on the absence of the job from the log, while its append, or its repeat, could still come.

Change: a tombstone is stored before 410 is told, and cancels the job whether that is stored before it or after it. A submission that is cancelled already is stored and shown as cancelled.

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -462,7 +462,7 @@
                                      .has_capacity = has_capacity };
   /* A writer name per process, so that its sequence numbers start from 0. */
   char *writer = g_strdup_printf ("%s-%08x", app->settings->host, g_random_int ());
-  /* Ended jobs, which are kept for the retention time, outlast every submission. */
+  /* Ended jobs and tombstones, which are kept for the retention time, outlast every submission. */
   const struct iv_recorder_times times
       = { .batch_delay = ACCEPT_BATCH_DELAY_MS,
           .unknown_timeout = ACCEPT_UNKNOWN_TIMEOUT_MS,
@@ -512,6 +512,17 @@
                          job->id, &g_array_index (job->delegations, struct iv_delegation, i)));
 }
 
+/* Deletes the key of a tombstone, unless its job has not ended yet: a host that restarts must read
+   that the job was cancelled. */
+static void
+delete_tombstone (void *context, const char *key, const char *id)
+{
+  struct iv_fleet_app *app = context;
+  const struct iv_job_entry *job = iv_job_table_find (app->job_table, id);
+  if (job == NULL || iv_job_state_is_final (job->progress.state))
+    iv_recorder_add (app->recorder, key, NULL, 0, NULL, NULL);
+}
+
 /* Ended jobs stay queryable for the retention time. Then every host removes them from its table,
    and the owner of their cell deletes their keys. */
 static void
@@ -532,6 +543,9 @@
       iv_job_table_remove (app->job_table, job->id);
     }
   g_ptr_array_free (expired, TRUE);
+  if (iv_cell_task_owns (app->cells[0]))
+    iv_tombstones_foreach_before (iv_job_table_tombstones (app->job_table), ended_before_ms,
+                                  delete_tombstone, app);
   iv_deadline_set (app->deadlines, &app->sweep, (gint64)uv_now (app->loop) + SWEEP_INTERVAL_MS);
 }
 
@@ -557,6 +571,8 @@
   set_gauge ("ibisvane_start_window", "Starts that may be in progress at the same time.",
              iv_call_limits_window (app->worker_limits));
   set_gauge ("ibisvane_jobs_known", "Jobs in the job table.", iv_job_table_size (app->job_table));
+  set_gauge ("ibisvane_tombstones", "Cancellations kept of ids that no job was known for.",
+             iv_tombstones_count (iv_job_table_tombstones (app->job_table)));
   set_gauge ("ibisvane_requests_pending", "Requests not answered yet.",
              iv_front_task_pending (app->front));
   set_gauge ("ibisvane_jobs_age_ms", "Age of the last read to the end of the jobs stream, in ms.",
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -37,7 +37,8 @@
   WAIT_READ,
   WAIT_SUBMISSION,
   WAIT_REPEAT, /* the append of the first submission of the same job */
-  WAIT_CANCEL
+  WAIT_CANCEL,
+  WAIT_TOMBSTONE /* a cancellation of an id that no job is known for */
 };
 
 /* A request that waits for the store. A stored record takes effect only when it comes back through
@@ -265,7 +266,9 @@
 {
   if (store_wait->request == NULL)
     return;
-  if (status == IV_OK)
+  if (status == IV_OK && store_wait->kind == WAIT_TOMBSTONE)
+    reject (store_wait->request, 410, store_wait->id, "no such job");
+  else if (status == IV_OK)
     respond (store_wait->request, 200, "{}");
   else if (status == IV_ERR_UNAVAILABLE)
     reject_unavailable (store_wait->task, store_wait->request, store_wait->id);
@@ -277,8 +280,11 @@
 static void
 on_stored (void *context, enum iv_status status, gint64 end)
 {
+  static const char *const events[] = { [WAIT_SUBMISSION] = "job.accepted",
+                                        [WAIT_CANCEL] = "job.cancel_stored",
+                                        [WAIT_TOMBSTONE] = "job.tombstone_stored" };
   struct store_wait *store_wait = context;
-  iv_event (IV_LEVEL_INFO, store_wait->kind == WAIT_CANCEL ? "job.cancel_stored" : "job.accepted",
+  iv_event (IV_LEVEL_INFO, events[store_wait->kind],
             "job=%s outcome=%s offset=%" G_GINT64_FORMAT "%s%s", store_wait->id,
             iv_status_name (status), end, *store_wait->workspace ? " workspace=" : "",
             *store_wait->workspace ? iv_quote (store_wait->workspace) : "");
@@ -440,25 +446,56 @@
   xdr_free ((xdrproc_t)xdr_ivj_job, (char *)&job);
 }
 
+static void
+store_cancel (struct iv_front_task *task, struct iv_http_request *request,
+              const struct iv_access_caller *caller, const char *id, enum store_wait_kind kind,
+              const char *key, const void *value, gsize len)
+{
+  struct store_wait *store_wait;
+  if (store_is_unreachable (task))
+    {
+      reject_unavailable (task, request, id);
+      return;
+    }
+  store_wait = store_wait_new (task, request, caller, id, kind);
+  iv_recorder_add (task->deps.recorder, key, value, len, on_stored, store_wait);
+}
+
 static void
 cancel (struct iv_front_task *task, struct iv_http_request *request,
         const struct iv_access_caller *caller, const struct iv_job_entry *job)
 {
-  struct store_wait *store_wait;
   char key[IV_JOB_ID_LEN + 8];
   if (iv_job_state_is_final (iv_job_state (job)))
     {
       respond (request, 200, "{}");
       return;
     }
-  if (store_is_unreachable (task))
-    {
-      reject_unavailable (task, request, job->id);
-      return;
-    }
-  store_wait = store_wait_new (task, request, caller, job->id, WAIT_CANCEL);
   g_snprintf (key, sizeof key, "%s" IV_KEY_CANCEL, job->id);
-  iv_recorder_add (task->deps.recorder, key, "1", 1, on_stored, store_wait);
+  store_cancel (task, request, caller, job->id, WAIT_CANCEL, key, "1", 1);
+}
+
+/* No job of this id is stored, but one may be yet. */
+static void
+cancel_unknown (struct iv_front_task *task, struct iv_http_request *request,
+                const struct iv_access_caller *caller, const char *id)
+{
+  const struct iv_route *route = iv_routes_match (task->deps.routes (task->deps.context),
+                                                  iv_http_host (request), iv_http_path (request));
+  gboolean is_public = caller->public_access && route && route->public_access;
+  const ivj_tombstone tombstone = { .workspace = (char *)caller->workspace,
+                                    .host = is_public ? route->host : (char *)"",
+                                    .prefix = is_public ? route->prefix : (char *)"",
+                                    .cancelled_ms = iv_clock_wall_ms () };
+  GByteArray *bytes = iv_tombstone_encode (&tombstone);
+  char *key = iv_tombstone_format_key (id);
+  if (bytes == NULL
+      || iv_tombstones_count (iv_job_table_tombstones (task->deps.job_table)) >= IV_TOMBSTONES_MAX)
+    reject (request, 503, id, "too many cancellations of unknown jobs");
+  else
+    store_cancel (task, request, caller, id, WAIT_TOMBSTONE, key, bytes->data, bytes->len);
+  g_clear_pointer (&bytes, g_byte_array_unref);
+  g_free (key);
 }
 
 static void
@@ -482,6 +519,8 @@
   struct iv_job_entry *job = iv_job_table_find (store_wait->task->deps.job_table, store_wait->id);
   if (store_wait->request && job)
     serve_known (store_wait, job);
+  else if (store_wait->request && strcmp (iv_http_method (store_wait->request), "DELETE") == 0)
+    cancel_unknown (store_wait->task, store_wait->request, &store_wait->caller, store_wait->id);
   else if (store_wait->request)
     reject (store_wait->request, 410, store_wait->id, "no such job");
   store_wait_free (store_wait);
--- a/daemon/front_task.h
+++ b/daemon/front_task.h
@@ -9,6 +9,9 @@
  * A submission is answered with 200 once the job's record is stored, and else with 504: that a job
  * never runs cannot be told while another host may be appending it. Without a configuration it is
  * answered with 503.
+ *
+ * A cancellation is stored before it is answered, with 410 where no job is known: the job may be
+ * stored later (tombstones.h). 410 to a query tells of the moment only.
  */
 #ifndef IV_FRONT_TASK_H
 #define IV_FRONT_TASK_H
--- a/daemon/tests/front_task_test.c
+++ b/daemon/tests/front_task_test.c
@@ -449,6 +449,84 @@
     uv_run (loop, UV_RUN_ONCE);
 }
 
+/* Stores a job as another host does whose append is carried out late. */
+static void
+store_elsewhere (const char *id, const char *workspace)
+{
+  ivj_step step = { .count = 1, .cpu_milli = 1, .label = "", .data_rack = "", .image = "" };
+  ivj_job job = { .host = "127.0.0.1", .prefix = "/q/", .spec = "" };
+  GByteArray *record = g_byte_array_new ();
+  GByteArray *value;
+  job.steps.steps_len = 1;
+  job.steps.steps_val = &step;
+  value = iv_job_encode_spec (&job, workspace);
+  iv_store_encode_record (record, id, value->data, value->len);
+  store_standin_put_raw (store, IV_TOPIC_JOBS, record->data + 4, record->len - 4);
+  g_byte_array_unref (value);
+  g_byte_array_unref (record);
+  read_to_the_end ();
+}
+
+/* Guards against a job that runs on after its cancellation was acknowledged: another host may still
+   be appending it, or its caller repeats the submission. */
+static void
+test_cancelled_before_it_is_stored (void **state)
+{
+  static const char late[] = "/q/00000000000000e1";
+  static const char repeated[] = "/q/00000000000000e2";
+  struct result before;
+  set_configuration (without_workspaces);
+  before = send_request ("GET", "/q/", NULL);
+  assert_int_equal (status_of ("DELETE", late, NULL), 410);
+  assert_int_equal (status_of ("GET", late, NULL), 410);
+  store_elsewhere (late + 3, "");
+  assert_true (iv_job_table_find (job_table, late + 3)->cancel);
+  assert_non_null (strstr (send_request ("GET", late, NULL).body, "cancelled"));
+  assert_int_equal (status_of ("DELETE", late, NULL), 200);
+  assert_int_equal (status_of ("DELETE", repeated, NULL), 410);
+  assert_int_equal (status_of ("POST", repeated, NULL), 200);
+  read_to_the_end ();
+  assert_non_null (strstr (send_request ("GET", repeated, NULL).body, "cancelled"));
+  assert_string_equal (send_request ("GET", "/q/", NULL).body, before.body);
+}
+
+/* Guards against a cancellation that is told and not stored, and against one that is carried out
+   before the submission that it follows on the same host. */
+static void
+test_cancelled_while_it_is_appended (void **state)
+{
+  static const char path[] = "/q/00000000000000e3";
+  static struct result submission, cancellation; /* outlive a failed assertion, as the calls do */
+  set_configuration (without_workspaces);
+  store->appends_to_hold = 1;
+  start_request ("POST", path, NULL, &submission);
+  await_held_append ();
+  start_request ("DELETE", path, NULL, &cancellation);
+  run_for (100);
+  assert_false (cancellation.done);
+  store_standin_release (store);
+  while (!submission.done || !cancellation.done)
+    uv_run (loop, UV_RUN_ONCE);
+  assert_int_equal (submission.status, 200);
+  assert_true (cancellation.status == 200 || cancellation.status == 410);
+  read_to_the_end ();
+  assert_true (iv_job_table_find (job_table, path + 3)->cancel);
+}
+
+/* Guards against a caller that cancels a job of another workspace before it is stored, or learns of
+   it so. */
+static void
+test_cancelled_by_another_workspace (void **state)
+{
+  static const char path[] = "/q/00000000000000e4";
+  set_configuration (two_workspaces);
+  assert_int_equal (status_of ("DELETE", path, KEY_B), 410);
+  store_elsewhere (path + 3, "alpha");
+  assert_false (iv_job_table_find (job_table, path + 3)->cancel);
+  assert_int_equal (status_of ("DELETE", path, KEY_B), 403);
+  assert_int_equal (status_of ("DELETE", path, KEY_A), 200);
+}
+
 /* Guards against 503, which tells that a job never runs, for one that may still be stored: by the
    same host, whose append has no response, or by another one. */
 static void
@@ -465,6 +543,7 @@
   run_for (1500); /* the append has timed out */
   assert_int_equal (status_of ("POST", path, NULL), 504);
   assert_int_equal (status_of ("POST", other_path, NULL), 504);
+  assert_int_equal (status_of ("DELETE", other_path, NULL), 503);
   has_room = TRUE;
   store_standin_release (store);
   wait_ms = NULL;
@@ -503,6 +582,26 @@
   assert_int_equal (status_of ("POST", queued_path, NULL), 200);
 }
 
+/* Guards against a stream of cancellations of unknown ids that fills the store. */
+static void
+test_cancellations_of_unknown_ids_are_limited (void **state)
+{
+  const ivj_tombstone tombstone = { .workspace = "", .host = "", .prefix = "" };
+  GByteArray *bytes = iv_tombstone_encode (&tombstone);
+  set_configuration (without_workspaces);
+  for (guint i = 0; iv_tombstones_count (iv_job_table_tombstones (job_table)) < IV_TOMBSTONES_MAX;
+       i++)
+    {
+      char key[64];
+      g_snprintf (key, sizeof key, "%016x" IV_KEY_TOMBSTONE "1", 0x10000 + i);
+      iv_job_table_apply (job_table, key, bytes->data, bytes->len);
+    }
+  assert_int_equal (status_of ("DELETE", "/q/00000000000000e9", NULL), 503);
+  iv_job_table_apply (job_table, "0000000000010000" IV_KEY_TOMBSTONE "1", NULL, 0);
+  assert_int_equal (status_of ("DELETE", "/q/00000000000000e9", NULL), 410);
+  g_byte_array_unref (bytes);
+}
+
 int
 main (void)
 {
@@ -517,8 +616,12 @@
     cmocka_unit_test (test_storm_of_removed_keys),
     cmocka_unit_test (test_host_cut_off_from_the_store),
     cmocka_unit_test (test_no_key_is_logged),
+    cmocka_unit_test (test_cancelled_before_it_is_stored),
+    cmocka_unit_test_teardown (test_cancelled_while_it_is_appended, end_disruptions),
+    cmocka_unit_test (test_cancelled_by_another_workspace),
     cmocka_unit_test_teardown (test_no_refusal_of_what_may_be_stored, end_disruptions),
     cmocka_unit_test_teardown (test_unsent_submission_is_withdrawn, end_disruptions),
+    cmocka_unit_test (test_cancellations_of_unknown_ids_are_limited),
   };
   log_lines = g_string_new (NULL);
   g_log_set_writer_func (collect_line, NULL, NULL);
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -18,6 +18,7 @@
 {
   GHashTable *jobs;     /* from id to struct iv_job_entry */
   GHashTable *arrivals; /* from workspace to struct iv_arrivals: its jobs */
+  struct iv_tombstones *tombstones;
   iv_job_table_fn changed;
   void *context;
 };
@@ -56,6 +57,7 @@
   table->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   table->arrivals
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)iv_arrivals_free);
+  table->tombstones = iv_tombstones_new ();
   return table;
 }
 
@@ -66,6 +68,7 @@
     return;
   g_hash_table_destroy (table->arrivals);
   g_hash_table_destroy (table->jobs);
+  iv_tombstones_free (table->tombstones);
   g_free (table);
 }
 
@@ -181,6 +184,13 @@
   return arrivals && iv_arrivals_is_beyond (arrivals, rate, job->spec.accepted_ms, job->id);
 }
 
+static gboolean
+is_covered (const struct iv_job_table *table, const struct iv_job_entry *job)
+{
+  return iv_tombstones_cover (table->tombstones, job->id, job->workspace, job->spec.host,
+                              job->spec.prefix);
+}
+
 static enum iv_status
 apply_spec (struct iv_job_table *table, struct iv_job_entry *job, const guint8 *value, gsize len)
 {
@@ -201,7 +211,9 @@
   job->workspace = g_intern_string (record.workspace ? record.workspace : "");
   free (record.workspace);
   job->accepted = TRUE;
-  add_arrival (table, job);
+  job->cancel |= is_covered (table, job);
+  if (!job->cancel)
+    add_arrival (table, job);
   return IV_OK;
 }
 
@@ -275,6 +287,21 @@
   return status;
 }
 
+/* A job that was cancelled stays so when the tombstone is deleted. */
+static enum iv_status
+apply_tombstone (struct iv_job_table *table, const char *key, const char *id, const guint8 *value,
+                 gsize len)
+{
+  struct iv_job_entry *job = iv_job_table_find (table, id);
+  enum iv_status status = iv_tombstones_apply (table->tombstones, key, value, len);
+  if (status != IV_OK || job == NULL || job->cancel || !is_covered (table, job))
+    return status;
+  job->cancel = TRUE;
+  if (table->changed)
+    table->changed (table->context, job);
+  return IV_OK;
+}
+
 enum iv_status
 iv_job_table_apply (struct iv_job_table *table, const char *key, const guint8 *value, gsize len)
 {
@@ -285,6 +312,8 @@
   if (strlen (key) < IV_JOB_ID_LEN || !iv_job_id_valid (key, IV_JOB_ID_LEN))
     return iv_fail (IV_ERR_INVALID, "key \"%s\" does not start with a job id", key);
   g_strlcpy (id, key, sizeof id);
+  if (g_str_has_prefix (suffix, IV_KEY_TOMBSTONE))
+    return apply_tombstone (table, key, id, value, len);
   if (value == NULL)
     {
       if (*suffix == '\0')
@@ -376,6 +405,12 @@
   return (guint)state < G_N_ELEMENTS (names) ? names[state] : "unknown";
 }
 
+const struct iv_tombstones *
+iv_job_table_tombstones (const struct iv_job_table *table)
+{
+  return table->tombstones;
+}
+
 guint
 iv_job_table_size (const struct iv_job_table *table)
 {
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -9,6 +9,8 @@
  * - its id with IV_KEY_FAILURES and a number: failed runs that the progress record has no room for,
  *   with it when there are any. They may be older than it: a task that has failed stays so;
  * - its id with IV_KEY_CANCEL: written by the host that took the cancellation;
+ * - its id with IV_KEY_TOMBSTONE and a number: a cancellation that came before the job was known.
+ * See tombstones.h;
  * - its id with IV_KEY_MOVE: the new cell, written by the owner of the cell that the job leaves;
  * - its id with IV_KEY_DELEGATION and a task: which cell runs that task, written by the owner of
  * the cell that the task leaves. See delegations.h.
@@ -22,6 +24,7 @@
 #include "jobs_xdr.h"
 #include "delegations.h"
 #include "task_name.h"
+#include "tombstones.h"
 
 #define IV_KEY_PROGRESS "+p"
 #define IV_KEY_CRASHES "+c"
@@ -44,7 +47,7 @@
 {
   char id[IV_JOB_ID_LEN + 1];
   gboolean accepted; /**< `spec` is set */
-  gboolean cancel;   /**< a cancellation was recorded */
+  gboolean cancel;   /**< a cancellation was recorded, or a tombstone covers the job */
   gint moved_to;     /**< cell that the job was moved to; -1: none */
   ivj_job spec;
   const char *workspace;     /**< that it was accepted for, interned; "" when it has none */
@@ -82,6 +85,9 @@
 /** Find a job; NULL when it is unknown or its specification has not been read. */
 struct iv_job_entry *iv_job_table_find (struct iv_job_table *table, const char *id);
 
+/** Tombstones, also of ids that no job is known for. */
+const struct iv_tombstones *iv_job_table_tombstones (const struct iv_job_table *table);
+
 /** Number of jobs, including those whose specification has not been read. */
 guint iv_job_table_size (const struct iv_job_table *table);
 
--- a/jobs/jobs.x
+++ b/jobs/jobs.x
@@ -61,6 +61,15 @@
   string workspace<IVJ_TEXT_MAX>;
 };
 
+/* Cancellation of a job id that no job was known for. `host` and `prefix` are those of the queue that
+   it was requested through where that is public, else "". */
+struct ivj_tombstone {
+  string workspace<IVJ_TEXT_MAX>;
+  string host<IVJ_TEXT_MAX>;
+  string prefix<IVJ_TEXT_MAX>;
+  hyper cancelled_ms; /* wall clock */
+};
+
 /* Policy of a queue, for its jobs when the configuration names it no more. */
 struct ivj_queue {
   string host<IVJ_TEXT_MAX>;
--- a/jobs/jobs_xdr.c
+++ b/jobs/jobs_xdr.c
@@ -193,6 +193,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ivj_tombstone (XDR *xdrs, ivj_tombstone *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, IVJ_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->cancelled_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ivj_queue (XDR *xdrs, ivj_queue *objp)
 {
--- a/jobs/jobs_xdr.h
+++ b/jobs/jobs_xdr.h
@@ -91,6 +91,14 @@
 };
 typedef struct ivj_job_record ivj_job_record;
 
+struct ivj_tombstone {
+	char *workspace;
+	char *host;
+	char *prefix;
+	quad_t cancelled_ms;
+};
+typedef struct ivj_tombstone ivj_tombstone;
+
 struct ivj_queue {
 	char *host;
 	char *prefix;
@@ -225,6 +233,7 @@
 extern  bool_t xdr_ivj_step (XDR *, ivj_step*);
 extern  bool_t xdr_ivj_job (XDR *, ivj_job*);
 extern  bool_t xdr_ivj_job_record (XDR *, ivj_job_record*);
+extern  bool_t xdr_ivj_tombstone (XDR *, ivj_tombstone*);
 extern  bool_t xdr_ivj_queue (XDR *, ivj_queue*);
 extern  bool_t xdr_ivj_failure (XDR *, ivj_failure*);
 extern  bool_t xdr_ivj_step_progress (XDR *, ivj_step_progress*);
@@ -246,6 +255,7 @@
 extern bool_t xdr_ivj_step ();
 extern bool_t xdr_ivj_job ();
 extern bool_t xdr_ivj_job_record ();
+extern bool_t xdr_ivj_tombstone ();
 extern bool_t xdr_ivj_queue ();
 extern bool_t xdr_ivj_failure ();
 extern bool_t xdr_ivj_step_progress ();
