Delete the failure records of a job with its other keys

Change: the job table counts these keys and lists all keys of a job. Test: job_table, test_keys_of_an_ended_job, fails without them (mutant failure_keys_left).

--- a/daemon/fleet_app.c
+++ b/daemon/fleet_app.c
@@ -491,25 +491,13 @@
   return layout && iv_cell_task_owns (app->cells[iv_layout_job_cell (layout, job)]);
 }
 
-static void
-delete_key (struct iv_fleet_app *app, char *key)
-{
-  iv_recorder_add (app->recorder, key, NULL, 0, NULL, NULL);
-  g_free (key);
-}
-
 static void
 delete_keys (struct iv_fleet_app *app, const struct iv_job_entry *job)
 {
-  static const char *const suffixes[]
-      = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE, IV_KEY_CRASHES };
-  const gboolean has_key[] = { TRUE, TRUE, job->cancel, job->moved_to >= 0, job->has_crash_record };
-  for (guint i = 0; i < G_N_ELEMENTS (suffixes); i++)
-    if (has_key[i])
-      delete_key (app, g_strconcat (job->id, suffixes[i], NULL));
-  for (guint i = 0; job->delegations && i < job->delegations->len; i++)
-    delete_key (app, iv_delegation_format_key (
-                         job->id, &g_array_index (job->delegations, struct iv_delegation, i)));
+  GPtrArray *keys = iv_job_keys (job);
+  for (guint i = 0; i < keys->len; i++)
+    iv_recorder_add (app->recorder, g_ptr_array_index (keys, i), NULL, 0, NULL, NULL);
+  g_ptr_array_unref (keys);
 }
 
 /* Deletes the key of a tombstone, unless its job has not ended yet: a host that restarts must read
--- a/jobs/job_table.c
+++ b/jobs/job_table.c
@@ -242,6 +242,7 @@
   status = iv_xdr_decode ((iv_xdr_proc)xdr_ivj_progress, value, len, &failures);
   if (status != IV_OK)
     return status;
+  job->failure_keys = MAX (job->failure_keys, (guint)place);
   if (job->failures == NULL)
     job->failures = g_ptr_array_new_with_free_func (free_progress);
   if (job->failures->len < place)
@@ -384,6 +385,25 @@
   g_hash_table_remove (table->jobs, id);
 }
 
+GPtrArray *
+iv_job_keys (const struct iv_job_entry *job)
+{
+  static const char *const suffixes[]
+      = { "", IV_KEY_PROGRESS, IV_KEY_CANCEL, IV_KEY_MOVE, IV_KEY_CRASHES };
+  const gboolean has_key[] = { TRUE, TRUE, job->cancel, job->moved_to >= 0, job->has_crash_record };
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < G_N_ELEMENTS (suffixes); i++)
+    if (has_key[i])
+      g_ptr_array_add (keys, g_strconcat (job->id, suffixes[i], NULL));
+  for (guint i = 1; i <= job->failure_keys; i++)
+    g_ptr_array_add (keys, g_strdup_printf ("%s" IV_KEY_FAILURES "%u", job->id, i));
+  for (guint i = 0; job->delegations && i < job->delegations->len; i++)
+    g_ptr_array_add (keys,
+                     iv_delegation_format_key (
+                         job->id, &g_array_index (job->delegations, struct iv_delegation, i)));
+  return keys;
+}
+
 enum ivj_state
 iv_job_state (const struct iv_job_entry *job)
 {
--- a/jobs/job_table.h
+++ b/jobs/job_table.h
@@ -54,6 +54,7 @@
   ivj_progress progress;     /**< as recorded; this is what callers are told */
   ivj_crashes crashes;       /**< as recorded */
   GPtrArray *failures;       /**< of ivj_progress, as recorded with IV_KEY_FAILURES; NULL: none */
+  guint failure_keys;        /**< keys with IV_KEY_FAILURES that exist, also of an ended job */
   gboolean has_crash_record; /**< the key with IV_KEY_CRASHES exists */
   enum ivj_state live_state; /**< state at the owner; may be newer than the recorded one */
   gint64 live_ended_ms;      /**< wall clock; when `live_state` became final */
@@ -105,6 +106,10 @@
 /** Remove a job; a job with execution state stays. */
 void iv_job_table_remove (struct iv_job_table *table, const char *id);
 
+/** The keys of an accepted job that may exist, its id first, as `char *`. Free with
+ *  g_ptr_array_unref(). */
+GPtrArray *iv_job_keys (const struct iv_job_entry *job);
+
 /** State of @a job as told to callers: as recorded, or cancelled once that was requested. */
 enum ivj_state iv_job_state (const struct iv_job_entry *job);
 
