Give runs numbers of their own in each cell

Cause: runs are numbered from the owner's term, which is the same for the first owners of all cells. Runs after the move had the numbers of failed runs before it, and a failure is counted once for each number.

--- a/jobs/owner.c
+++ b/jobs/owner.c
@@ -42,7 +42,10 @@
   owner->limits = *limits;
   owner->effects = *effects;
   owner->term = term;
-  owner->run_base = term << RUN_TERM_SHIFT;
+  /* A job that moves has no two runs of one number: the terms of a cell are multiples of
+     IV_FENCES_PER_TERM, and the number of the cell fits in between. */
+  G_STATIC_ASSERT (IV_CELLS_MAX <= IV_FENCES_PER_TERM);
+  owner->run_base = (term + MAX (effects->cell, 0)) << RUN_TERM_SHIFT;
   owner->owned_since_ms = now_ms;
   owner->previous_until_ms = now_ms + limits->horizon_ms;
   owner->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/jobs/tests/moves_test.c
+++ b/jobs/tests/moves_test.c
@@ -563,6 +563,51 @@
     }
 }
 
+static void
+copy_record (struct sim *sim, const char *key, const guint8 *value, gsize len)
+{
+  sim_apply_record (sim->record_context, key, value, len);
+}
+
+/* Cells whose first owners have the same term: guards against runs of a task that have the numbers
+   of its failed runs in another cell, which are not counted again. */
+static void
+test_attempts_are_counted_across_cells (void **state)
+{
+  struct sim *sim = sim_new (2);
+  struct sim *next = sim_new (2);
+  GByteArray *spec;
+  next->is_delegate = TRUE;
+  sim->attempts = next->attempts = 4;
+  sim->record = copy_record;
+  sim->record_context = next;
+  sim_start_owner (sim);
+  sim_start_owner (next);
+  sim_make_job (1, 0);
+  spec = iv_job_encode_spec (&sim_spec, "");
+  sim_apply_record (sim, JOB_ID, spec->data, spec->len);
+  for (guint i = 0; i < 2; i++)
+    {
+      sim_advance (sim, 500);
+      assert_true (sim_end_run (sim, JOB_ID, 0, 0, IV_END_FAILED));
+    }
+  sim_advance (sim, 500);
+  sim_apply_record (next, JOB_ID IV_KEY_MOVE, (const guint8 *)"1", 1);
+  sim_apply_record (next, JOB_ID, spec->data, spec->len);
+  for (guint i = 0; i < 2; i++)
+    {
+      sim_advance (next, 500);
+      assert_int_not_equal (sim_job_state (next, JOB_ID), IVJ_FAILED);
+      assert_true (sim_end_run (next, JOB_ID, 0, 0, IV_END_FAILED));
+    }
+  sim_advance (next, 500);
+  assert_int_equal (sim_job_state (next, JOB_ID), IVJ_FAILED);
+  assert_int_equal (next->start_calls, 2);
+  g_byte_array_unref (spec);
+  sim_free (next);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
@@ -589,6 +634,7 @@
     cmocka_unit_test (test_job_leaves_a_lost_rack),
     cmocka_unit_test (test_job_that_came_here_stays_for_a_while),
     cmocka_unit_test (test_evacuated_job_needs_its_label),
+    cmocka_unit_test (test_attempts_are_counted_across_cells),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
