--- a/daemon/tests/cancel_soak_test.c
+++ b/daemon/tests/cancel_soak_test.c
@@ -32,6 +32,7 @@
 static struct iv_http_client *caller;
 static struct iv_routes *routes;
 static struct iv_settings settings;
+static GPtrArray *readers; /* links and clients of the hosts that read the store in the end */
 static guint seed_first = 1;
 static guint seed_count = 64;
 
@@ -282,20 +283,24 @@
 {
   struct iv_job_table *job_table = iv_job_table_new ();
   char address[32];
+  struct iv_store *client;
   struct iv_stream *stream;
   guint untrue = 0;
   guint16 port = loopback_port_reserve ();
   struct store_standin *link = store_standin_new (loop, port);
+  g_ptr_array_add (readers, link);
   link->topics = world->hosts[0].link->topics;
   g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
-  stream = follow (iv_store_new (iv_http_client_new (loop, deadlines, 3600000, 1 << 20), address),
-                   job_table);
+  client = iv_store_new (iv_http_client_new (loop, deadlines, 3600000, 1 << 20), address);
+  g_ptr_array_add (readers, client);
+  stream = follow (client, job_table);
   while (!iv_stream_loaded (stream))
     uv_run (loop, UV_RUN_ONCE);
   untrue += count_untrue (world, job_table, "a host that starts");
   for (guint i = 0; i < HOSTS; i++)
     untrue += count_untrue (world, world->hosts[i].job_table, "a host");
   iv_stream_close (stream);
+  iv_job_table_free (job_table);
   return untrue;
 }
 
@@ -343,6 +348,7 @@
     }
   settings.limits
       = (struct iv_limit_settings){ .requests = 100, .connections = 100, .read_timeout_ms = 5000 };
+  readers = g_ptr_array_new ();
   loop = uv_default_loop ();
   deadlines = iv_deadlines_new (loop);
   caller = iv_http_client_new (loop, deadlines, 3600000, 1 << 20);
