--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -323,6 +323,7 @@
     respond_state (request, job);
   else
     reject (request, 504, store_wait->id, "the store has not answered: the outcome is not known");
+  /* The caller that was told 504 last may submit the job anew, or cancel it. */
   if (submission->kind == WAIT_SUBMISSION && !has_waiting_request (submission)
       && iv_recorder_withdraw (task->deps.recorder, on_stored, submission))
     {
